--- /dev/null
+++ b/libs/backends/toucanlead_backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of back ends: model engines, tool services and applications."""
--- /dev/null
+++ b/libs/backends/toucanlead_backends/http_engine.py
@@ -0,0 +1,158 @@
+"""Model engine over its published HTTP API (OpenAI-compatible streaming).
+
+Cache control uses the JSON form in docs/backends.md, since engines differ there.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import orjson
+from cattrs import unstructure
+from prometheus_client.parser import text_string_to_metric_families
+
+from toucanlead_core.codec import structure
+from toucanlead_core.errors import NotSent, OutcomeUnknown, Step
+from toucanlead_core.messages import Chunk
+
+from .engine import (
+    CacheEvent,
+    EngineOrder,
+    GenerateEnd,
+    GenerateReq,
+    LoadReport,
+    ModelEngine,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 3.0
+
+
+class HttpEngine(ModelEngine):
+    """A replica reached by HTTP."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        """Take the shared client session and the replica's host:port."""
+        self._session = session
+        self._address = address
+        self._base = f'http://{address}'
+
+    async def generate(self, req: GenerateReq) -> AsyncIterator[Chunk | GenerateEnd]:
+        """Stream an answer by server-sent events."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        offset = req.resume_from
+        ended = False
+        try:
+            async with self._session.post(
+                f'{self._base}/v1/chat/completions', json=_chat_body(req), timeout=timeout
+            ) as resp:
+                self._check(resp, Step.SEND)
+                async for line in resp.content:
+                    if not line.startswith(b'data: ') or line.startswith(b'data: [DONE]'):
+                        continue
+                    item = _stream_item(orjson.loads(line[6:]), offset)
+                    if isinstance(item, Chunk):
+                        offset += item.tokens
+                    else:
+                        ended = True
+                    yield item
+        except aiohttp.ClientConnectorError as exc:
+            raise NotSent(str(exc), step=Step.SEND, peer=self._address) from exc
+        except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as exc:
+            raise OutcomeUnknown(repr(exc), step=Step.STREAM, peer=self._address) from exc
+        if not ended:
+            raise OutcomeUnknown('stream cut', step=Step.STREAM, peer=self._address)
+
+    async def load(self) -> LoadReport:
+        """Read the Prometheus text of the replica."""
+        text = (await self._request('GET', '/metrics')).decode()
+        values = {
+            sample.name: sample.value
+            for family in text_string_to_metric_families(text)
+            for sample in family.samples
+        }
+        return LoadReport(
+            running=int(values.get('engine_requests_running', 0)),
+            waiting=int(values.get('engine_requests_waiting', 0)),
+            cache_used_tokens=int(values.get('engine_cache_used_tokens', 0)),
+            cache_limit_tokens=int(values.get('engine_cache_limit_tokens', 0)),
+            age_s=values.get('engine_report_age_seconds', 0.0),
+        )
+
+    async def events(self, since: int) -> list[CacheEvent]:
+        """Read late cache events."""
+        data = await self._request('GET', f'/control/events?since={since}')
+        return structure(orjson.loads(data), list[CacheEvent])
+
+    async def held(self) -> list[str]:
+        """Read which programs are held."""
+        return structure(orjson.loads(await self._request('GET', '/control/held')), list[str])
+
+    async def hold(self, program_id: str) -> None:
+        """Pin a program's cache."""
+        await self._request('POST', f'/control/hold/{program_id}')
+
+    async def release(self, program_id: str) -> None:
+        """Free a program's cache."""
+        await self._request('POST', f'/control/release/{program_id}')
+
+    async def export_cache(self, program_id: str) -> str:
+        """Export a program's cache."""
+        return (await self._request('POST', f'/control/export/{program_id}')).decode()
+
+    async def import_cache(self, program_id: str, handle: str) -> None:
+        """Import a program's cache."""
+        await self._request('POST', f'/control/import/{program_id}', {'handle': handle})
+
+    async def order(self, order: EngineOrder) -> EngineOrder:
+        """Send an order."""
+        data = await self._request('POST', '/control/orders', unstructure(order))
+        return structure(orjson.loads(data), EngineOrder)
+
+    async def _request(self, method: str, path: str, body: Any = None) -> bytes:
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, self._base + path, json=body, timeout=timeout
+            ) as resp:
+                self._check(resp, 'control')
+                return await resp.read()
+        except aiohttp.ClientConnectorError as exc:
+            raise NotSent(str(exc), step='control', peer=self._address) from exc
+        except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
+            raise OutcomeUnknown(repr(exc), step='control', peer=self._address) from exc
+
+    def _check(self, resp: aiohttp.ClientResponse, step: Step | str) -> None:
+        if resp.status in (429, 503):
+            raise NotSent(f'status {resp.status}', step=step, peer=self._address)
+        if resp.status >= 400:
+            raise OutcomeUnknown(f'status {resp.status}', step=step, peer=self._address)
+
+
+def _chat_body(req: GenerateReq) -> dict[str, Any]:
+    return {
+        'model': req.model,
+        'messages': [{'role': m.role, 'content': m.content} for m in req.messages],
+        'max_tokens': req.max_tokens,
+        'stream': True,
+        'priority': req.priority,
+        'user': req.program_id,
+        'request_id': req.request_id,
+        'seq': req.seq,
+        'resume_from': req.resume_from,
+        'resume_text': req.resume_text,
+    }
+
+
+def _stream_item(event: dict[str, Any], offset: int) -> Chunk | GenerateEnd:
+    usage = event.get('usage')
+    if usage:
+        details = usage.get('prompt_tokens_details') or {}
+        return GenerateEnd(
+            prompt_tokens=usage['prompt_tokens'],
+            cached_tokens=details.get('cached_tokens', 0),
+            output_tokens=usage['completion_tokens'],
+        )
+    text = event['choices'][0]['delta'].get('content', '')
+    return Chunk(offset=offset, text=text, tokens=event.get('tokens', 1))
--- /dev/null
+++ b/libs/backends/toucanlead_backends/http_tool.py
@@ -0,0 +1,60 @@
+"""Tool services and applications over HTTP with JSON bodies."""
+
+import asyncio
+
+import aiohttp
+import orjson
+
+from toucanlead_core.codec import structure
+from toucanlead_core.errors import NotSent, OutcomeUnknown, Step
+
+from .tool import ToolOutcome, ToolReq, ToolService
+
+CONNECT_TIMEOUT_S = 1.0
+OUTCOME_TIMEOUT_S = 3.0
+
+
+class HttpTool(ToolService):
+    """A service reached by HTTP; the caller bounds the time of a call."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        """Take the shared client session and the service's host:port."""
+        self._session = session
+        self._address = address
+
+    async def call(self, req: ToolReq) -> str:
+        """Post the arguments under the idempotency key."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        headers = {
+            'Idempotency-Key': req.idempotency_key,
+            'X-Program': req.program_id,
+            'X-Seq': str(req.seq),
+        }
+        url = f'http://{self._address}/v1/tools/{req.tool}'
+        try:
+            async with self._session.post(
+                url, json=req.args, headers=headers, timeout=timeout
+            ) as resp:
+                if resp.status == 503:
+                    raise NotSent('busy', step=Step.SEND, peer=self._address)
+                if resp.status >= 400:
+                    raise OutcomeUnknown(
+                        f'status {resp.status}', step=Step.ANSWER, peer=self._address
+                    )
+                return (await resp.read()).decode()
+        except aiohttp.ClientConnectorError as exc:
+            raise NotSent(str(exc), step=Step.SEND, peer=self._address) from exc
+        except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as exc:
+            raise OutcomeUnknown(repr(exc), step=Step.ANSWER, peer=self._address) from exc
+
+    async def outcome(self, idempotency_key: str) -> ToolOutcome:
+        """Ask for an earlier call's outcome."""
+        timeout = aiohttp.ClientTimeout(total=OUTCOME_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        url = f'http://{self._address}/v1/outcomes/{idempotency_key}'
+        try:
+            async with self._session.get(url, timeout=timeout) as resp:
+                return structure(orjson.loads(await resp.read()), ToolOutcome)
+        except aiohttp.ClientConnectorError as exc:
+            raise NotSent(str(exc), step='outcome', peer=self._address) from exc
+        except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
+            raise OutcomeUnknown(repr(exc), step='outcome', peer=self._address) from exc
--- /dev/null
+++ b/libs/cli/toucanlead/__main__.py
@@ -0,0 +1,15 @@
+"""Entry point of `python -m toucanlead` and of the `toucanlead` command."""
+
+import sys
+
+from .core import main
+from .environment import Environment
+
+
+def run() -> None:
+    """Run the command line and leave with its exit status."""
+    sys.exit(main(sys.argv[1:], Environment.of_process()))
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/libs/cli/toucanlead/commands.py
@@ -0,0 +1,77 @@
+"""Execution of the commands."""
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+
+from toucanlead_entry.daemon import Daemon, run_until
+from toucanlead_entry.settings import load_settings
+from toucanlead_trials.demo import demo_document, run_demo
+from toucanlead_trials.report import table, write_json
+
+from .environment import Environment
+from .logs import configure_logs
+from .status import ExitStatus
+
+
+class Commands:
+    """What each command does, in one environment."""
+
+    def __init__(self, env: Environment) -> None:
+        """Take all outside state."""
+        self._env = env
+
+    def demo(self, programs: int, log_level: str) -> ExitStatus:
+        """Run the demo."""
+        env = self._env
+        configure_logs(env.stderr, log_level)
+        rows = asyncio.run(run_demo(env.warn, programs or None))
+        document = demo_document(rows)
+        write_json(env.build / 'demo.json', document)
+        header = ['customer', 'programs', 'completed', 'calls', 'p50 s', 'p95 s', 'turn p95 s']
+        header += ['wasted', 'link bytes', 'kv writes/call']
+        cells = [
+            [
+                r.customer,
+                r.programs,
+                r.completed,
+                r.calls,
+                r.program_latency_p50_s,
+                r.program_latency_p95_s,
+                r.turn_latency_p95_s,
+                r.wasted_cache_ratio,
+                r.link_bytes,
+                r.kv_writes_per_call,
+            ]
+            for r in rows
+        ]
+        env.say(table(header, cells))
+        for row in rows:
+            for text in row.unexpected:
+                env.say(f'unexpected: {text}')
+        violations = document['violations']
+        env.say('violations: ' + ' '.join(f'{k}={v}' for k, v in violations.items()))
+        broken = any(violations.values()) or document['completed'] < document['programs']
+        return ExitStatus.VIOLATION if broken else ExitStatus.SUCCESS
+
+    def entry(self, config: str, log_level: str) -> ExitStatus:
+        """Run an entry."""
+        settings = load_settings(Path(config))
+        configure_logs(self._env.stderr, log_level)
+        asyncio.run(_serve(Daemon(settings, random.Random())))
+        return ExitStatus.SUCCESS
+
+    def check_config(self, file: str) -> ExitStatus:
+        """Check a settings file."""
+        load_settings(Path(file))
+        self._env.say(f'{file}: ok')
+        return ExitStatus.SUCCESS
+
+
+async def _serve(daemon: Daemon) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await run_until(daemon, stop)
--- /dev/null
+++ b/libs/cli/toucanlead/core.py
@@ -0,0 +1,35 @@
+"""Core of the command line: parses, runs, and turns errors into one clear line."""
+
+import contextlib
+
+import defopt
+
+from toucanlead_entry.settings import SettingsError
+
+from . import __version__
+from .commands import Commands
+from .definition import build
+from .environment import Environment
+from .status import ExitStatus
+
+
+def main(args: list[str], env: Environment) -> ExitStatus:
+    """Run one command line."""
+    if args == ['--version']:
+        env.say(f'toucanlead {__version__}')
+        return ExitStatus.SUCCESS
+    commands = build(Commands(env))
+    try:
+        with contextlib.redirect_stdout(env.stdout), contextlib.redirect_stderr(env.stderr):
+            return defopt.run(commands, argv=args or ['--help'])
+    except SettingsError as exc:
+        for error in exc.errors:
+            env.warn(f'{exc.source}: {error}')
+        return ExitStatus.BAD_CONFIG
+    except KeyboardInterrupt:
+        return ExitStatus.INTERRUPTED
+    except SystemExit as exc:
+        return ExitStatus.SUCCESS if not exc.code else ExitStatus.USAGE
+    except OSError as exc:
+        env.warn(f'toucanlead: {exc}')
+        return ExitStatus.ERROR
--- /dev/null
+++ b/libs/cli/toucanlead/definition.py
@@ -0,0 +1,43 @@
+"""Definition of the command line: names, options and help, without execution.
+
+The docstrings are the help texts that defopt shows.
+"""
+
+from collections.abc import Callable
+from typing import Literal
+
+from .commands import Commands
+from .status import ExitStatus
+
+LogLevel = Literal['debug', 'info', 'warning', 'error']
+
+
+def build(commands: Commands) -> dict[str, Callable]:
+    """Return the commands by name, bound to what executes them."""
+
+    def demo(*, programs: int = 0, log_level: LogLevel = 'error') -> ExitStatus:
+        """Run recorded programs of both customers through real entries on loopback.
+
+        Writes build/demo.json and prints a table. Takes under a minute.
+
+        :param programs: only so many root programs of each customer, 0 for all
+        :param log_level: lowest level of events shown on standard error
+        """
+        return commands.demo(programs, log_level)
+
+    def entry(*, config: str, log_level: LogLevel = 'info') -> ExitStatus:
+        """Run an entry until SIGTERM, then finish everything in progress and stop.
+
+        :param config: settings file (TOML), see docs/settings.md
+        :param log_level: lowest level of events shown on standard error
+        """
+        return commands.entry(config, log_level)
+
+    def check_config(file: str) -> ExitStatus:
+        """Check a settings file and name every error in it.
+
+        :param file: settings file (TOML)
+        """
+        return commands.check_config(file)
+
+    return {'demo': demo, 'entry': entry, 'check-config': check_config}
--- /dev/null
+++ b/libs/cli/toucanlead/environment.py
@@ -0,0 +1,39 @@
+"""Environment: all outside state of the command line in one object."""
+
+import os
+import sys
+import time
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import TextIO
+
+from attrs import define, field
+
+
+@define
+class Environment:
+    """Streams, folders, variables and clock; tests replace it whole."""
+
+    stdout: TextIO
+    stderr: TextIO
+    folder: Path = field(factory=Path.cwd)
+    variables: Mapping[str, str] = field(factory=dict)
+    clock: Callable[[], float] = time.monotonic
+
+    @classmethod
+    def of_process(cls) -> 'Environment':
+        """Return the environment of this process."""
+        return cls(sys.stdout, sys.stderr, Path.cwd(), os.environ)
+
+    def say(self, text: str) -> None:
+        """Print a line of output."""
+        print(text, file=self.stdout, flush=True)
+
+    def warn(self, text: str) -> None:
+        """Print a line of progress or error."""
+        print(text, file=self.stderr, flush=True)
+
+    @property
+    def build(self) -> Path:
+        """Return the folder for reports."""
+        return self.folder / 'build'
--- /dev/null
+++ b/libs/core/toucanlead_core/__init__.py
@@ -0,0 +1,1 @@
+"""Identifiers, errors, messages and the timer service shared by every library."""
--- /dev/null
+++ b/libs/core/toucanlead_core/codec.py
@@ -0,0 +1,53 @@
+"""JSON coding of attrs classes through cattrs."""
+
+from typing import Any, TypeVar
+
+import cattrs
+import orjson
+from cattrs.errors import ClassValidationError
+from cattrs.preconf.orjson import make_converter
+
+T = TypeVar('T')
+
+converter = make_converter(forbid_extra_keys=True)
+# Strict scalars: without these, cattrs coerces '7' to 7 and True to 1.
+_STRICT = (int, str, float, bool)
+
+
+def _strict(kind: type) -> Any:
+    def check(value: Any, _: type) -> Any:
+        if kind is float and type(value) is int:
+            return float(value)
+        if type(value) is not kind:
+            raise ValueError(f'expected {kind.__name__}, got {value!r}')
+        return value
+
+    return check
+
+
+for _kind in _STRICT:
+    converter.register_structure_hook_func(lambda t, k=_kind: t is k, _strict(_kind))
+
+
+def to_json(value: Any) -> bytes:
+    """Return JSON with sorted keys, so that equal values give equal bytes."""
+    return orjson.dumps(converter.unstructure(value), option=orjson.OPT_SORT_KEYS)
+
+
+def from_json(data: bytes, kind: type[T]) -> T:
+    """Build a typed value; raise ValueError naming each wrong field."""
+    try:
+        raw = orjson.loads(data)
+    except orjson.JSONDecodeError as exc:
+        raise ValueError(f'malformed JSON: {exc}') from None
+    return structure(raw, kind)
+
+
+def structure(raw: Any, kind: type[T]) -> T:
+    """Build a typed value from plain data; raise ValueError for wrong fields."""
+    try:
+        return converter.structure(raw, kind)
+    except ClassValidationError as exc:
+        raise ValueError('; '.join(cattrs.transform_error(exc))) from None
+    except (TypeError, KeyError, AttributeError) as exc:
+        raise ValueError(f'expected {kind.__name__}: {exc}') from None
--- /dev/null
+++ b/libs/entry/toucanlead_entry/admin_api.py
@@ -0,0 +1,116 @@
+"""Administration API for operators, on its own port and with its own keys."""
+
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from toucanlead_core.codec import converter, to_json
+from toucanlead_core.errors import PeerError, Reason, Refusal
+from toucanlead_core.messages import ProgramView
+from toucanlead_peer.messages import ForwardReq, Operation, Result
+
+from .auth import KeyRing
+from .entry import Entry
+from .local import Doubt, Resolution
+
+
+class AdminApi:
+    """Routes for operators."""
+
+    def __init__(self, entry: Entry, keys: KeyRing) -> None:
+        """Take the entry that serves."""
+        self._entry = entry
+        self._keys = keys
+
+    def add_routes(self, app: web.Application) -> None:
+        """Register all routes."""
+        app.router.add_get('/admin/status', self.status)
+        app.router.add_get('/admin/doubts', self.doubts)
+        app.router.add_post('/admin/doubts/{program}/{seq}', self.resolve)
+        app.router.add_get('/admin/programs/{team}/{program}', self.show)
+        app.router.add_delete('/admin/programs/{team}/{program}', self.end)
+
+    async def status(self, req: web.Request) -> web.Response:
+        """GET /admin/status."""
+        self._keys.check_admin(req)
+        return _json(entry_status(self._entry))
+
+    async def doubts(self, req: web.Request) -> web.Response:
+        """GET /admin/doubts: every entry's calls in doubt."""
+        self._keys.check_admin(req)
+        found: list[Doubt] = list(self._entry.local.doubts())
+        unread: list[str] = []
+        own = self._entry.ctx.identity.entry
+        for member in self._entry.keeper.view.members.values():
+            if member.entry == own:
+                continue
+            try:
+                found.extend(await self._doubts_at(member.peer_address))
+            except (PeerError, Refusal):
+                unread.append(member.entry)
+        return _json({'doubts': converter.unstructure(found), 'unread': unread})
+
+    async def resolve(self, req: web.Request) -> web.Response:
+        """POST /admin/doubts/{program}/{seq}."""
+        self._keys.check_admin(req)
+        try:
+            resolution = converter.structure(orjson.loads(await req.read()), Resolution)
+            seq = int(req.match_info['seq'])
+        except Exception as exc:
+            raise Refusal(Reason.BAD_REQUEST, f'not a resolution: {exc}') from None
+        forward = ForwardReq(
+            Operation.RESOLVE, '', req.match_info['program'], seq, to_json(resolution)
+        )
+        await self._entry.gateway.result(forward, bool)
+        return _json({'resolved': True})
+
+    async def show(self, req: web.Request) -> web.Response:
+        """GET /admin/programs/{team}/{program}."""
+        return await self._program(req, Operation.SHOW)
+
+    async def end(self, req: web.Request) -> web.Response:
+        """DELETE /admin/programs/{team}/{program}."""
+        return await self._program(req, Operation.END)
+
+    async def _program(self, req: web.Request, operation: Operation) -> web.Response:
+        self._keys.check_admin(req)
+        forward = ForwardReq(operation, req.match_info['team'], req.match_info['program'])
+        view = await self._entry.gateway.result(forward, ProgramView)
+        return _json(converter.unstructure(view))
+
+    async def _doubts_at(self, address: str) -> list[Doubt]:
+        forward = ForwardReq(Operation.DOUBTS, '', '')
+        async for frame in self._entry.ctx.peers.forward(address, forward):
+            if isinstance(frame, Result):
+                return converter.structure(orjson.loads(frame.body), list[Doubt])
+        return []
+
+
+def entry_status(entry: Entry) -> dict[str, Any]:
+    """Return the state of one entry, as operators see it."""
+    keeper = entry.keeper
+    now = entry.ctx.timers.now()
+    owner = keeper.owner
+    return {
+        'entry': entry.ctx.identity.entry,
+        'holder': owner.holder if owner else None,
+        'ready': entry.ready,
+        'members': sorted(keeper.view.members),
+        'slots': len(keeper.owned),
+        'programs': len(owner.ledger.programs) if owner else 0,
+        'in_progress': owner.in_progress if owner else 0,
+        'journal_healthy': owner.journal.healthy if owner else False,
+        'view_age_s': round(now - keeper.view.read_at, 3),
+        'doubts': len(owner.doubts()) if owner else 0,
+        'tails_kept': entry.tails.kept,
+        'preset': entry.ctx.preset.name,
+        'replicas': {
+            name: {'outstanding': state.outstanding(), 'leaving': state.leaving}
+            for name, state in sorted(entry.ctx.fleet.replicas.items())
+        },
+    }
+
+
+def _json(value: Any) -> web.Response:
+    return web.Response(body=orjson.dumps(value), content_type='application/json')
--- /dev/null
+++ b/libs/entry/toucanlead_entry/checkpoints.py
@@ -0,0 +1,233 @@
+"""Checkpoints: save programs, trim journals, evict and reload idle programs."""
+
+import structlog
+
+from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.errors import Fenced, Step
+from toucanlead_core.ids import slot_of_program
+from toucanlead_platform.kv import Compare, Delete, KvEntry, Put
+from toucanlead_state.checkpoint import Head, Part, head_of, new_parts, restore
+from toucanlead_state.ledger import Ledger, Program
+from toucanlead_state.records import Record, Segment, Settled
+
+from .context import Context
+from .owner import Owner
+from .records import journal_key, journal_prefix
+
+log = structlog.get_logger()
+
+JOURNAL_LIMIT_SEGMENTS = 200  # bounds what a takeover has to read
+TRIM_BATCH = 64
+
+
+class Checkpoints:
+    """Keeps one owner's journal short and its memory bounded."""
+
+    def __init__(self, ctx: Context, owner: Owner) -> None:
+        """Watch an owner's journal from its start."""
+        self._ctx = ctx
+        self._owner = owner
+        self._first_unsaved: dict[str, int] = {}
+        self._trimmed = 0
+
+    def note_durable(self, records: list[Record], index: int) -> None:
+        """Note which programs a segment leaves unsaved."""
+        for record in records:
+            self._first_unsaved.setdefault(record.program_id, index)
+
+    def note_taken(self, program_ids: list[str]) -> None:
+        """Note programs rebuilt from others' journals, to be saved soon."""
+        for program_id in program_ids:
+            self._first_unsaved.setdefault(program_id, self._owner.journal.next_index)
+
+    @property
+    def unsaved(self) -> int:
+        """Return how many programs have records that only a journal holds."""
+        return len(self._first_unsaved)
+
+    async def shorten(self) -> None:
+        """Save the programs that keep the journal long, then trim it."""
+        limit = self._owner.journal.next_index - JOURNAL_LIMIT_SEGMENTS
+        overdue = [p for p, index in self._first_unsaved.items() if index < limit]
+        for program_id in overdue:
+            await self.save(program_id)
+        await self._trim()
+
+    async def save_all(self, program_ids: list[str]) -> None:
+        """Save programs whose latest records are only in journals."""
+        for program_id in program_ids:
+            if program_id in self._first_unsaved:
+                await self.save(program_id)
+
+    async def settle_and_save(self, program_ids: list[str]) -> None:
+        """Save programs for an heir, this holder's open grants given back."""
+        ledger = self._owner.ledger
+        holder = self._owner.holder
+        settled: list[Record] = []
+        for program_id in program_ids:
+            escrow = ledger.programs[program_id].escrow
+            if escrow is not None and holder in escrow.grants:
+                spent = escrow.grants[holder].spent + self._claimed_cost(program_id)
+                settled.append(Settled(program_id, holder, spent))
+        if settled:
+            await self._owner.journal.append(settled, urgent=True)
+        for program_id in program_ids:
+            self._first_unsaved.setdefault(program_id, self._owner.journal.next_index)
+            await self.save(program_id)
+
+    async def save(self, program_id: str) -> None:
+        """Write a program's new turns and its head, fenced like the journal."""
+        program = self._owner.ledger.programs.get(program_id)
+        if program is None:
+            self._first_unsaved.pop(program_id, None)
+            return
+        applied_index = self._owner.journal.next_index
+        parts = new_parts(program)
+        turns = len(program.turns)
+        number = program.saved_parts
+        applied = {**program.applied, self._owner.holder: applied_index}
+        head = head_of(program, number + len(parts), applied, self._ctx.nonce())
+        for part in parts:
+            await self._put_part(program, number, part)
+            number += 1
+        head_rev = await self._put_head(program, head)
+        program.head_rev = head_rev
+        program.saved_turns = turns
+        program.saved_parts = number
+        program.applied = applied
+        first = self._first_unsaved.get(program_id)
+        if first is not None and self._owner.journal.next_index == applied_index:
+            del self._first_unsaved[program_id]
+        elif first is not None:
+            self._first_unsaved[program_id] = max(first, applied_index)
+
+    async def evict_idle(self, idle_before: float) -> int:
+        """Drop saved programs that nobody has touched; return how many."""
+        evicted = 0
+        for tree in self._idle_trees(idle_before):
+            await self.save_all(tree)
+            if self._owner.busy(set(tree)) or any(p in self._first_unsaved for p in tree):
+                continue
+            for program_id in tree:
+                self._owner.evict(program_id)
+                evicted += 1
+        return evicted
+
+    async def forget(self, program: Program) -> None:
+        """Delete an ended program's checkpoint."""
+        prefix = program_prefix(self._ctx, program.program_id)
+        for entry in await self._ctx.store.scan(prefix):
+            await self._ctx.store.txn([self._owner.journal.guard], [Delete(entry.key)])
+        self._first_unsaved.pop(program.program_id, None)
+
+    def _claimed_cost(self, root_id: str) -> int:
+        """Return the cost of calls in doubt in a program's tree."""
+        ledger = self._owner.ledger
+        return sum(
+            held.claim.cost
+            for program in ledger.programs.values()
+            if ledger.root_of(program).program_id == root_id
+            for held in program.claims.values()
+            if held.holder == self._owner.holder
+        )
+
+    def _idle_trees(self, idle_before: float) -> list[list[str]]:
+        trees: dict[str, list[str]] = {}
+        ledger = self._owner.ledger
+        for program in ledger.programs.values():
+            root = ledger.root_of(program).program_id
+            trees.setdefault(root, []).append(program.program_id)
+        return [
+            tree
+            for tree in trees.values()
+            if all(self._owner.runtime(p).touched_at < idle_before for p in tree)
+            and not any(ledger.programs[p].claims for p in tree)
+            and not self._owner.busy(set(tree))
+        ]
+
+    async def _put_part(self, program: Program, number: int, part: Part) -> None:
+        key = f'{program_prefix(self._ctx, program.program_id)}t{number:04d}'
+        put = Put(key, to_json(part))
+        # A part left by a save that was cut off before its head is replaced.
+        old = await self._ctx.store.get(key)
+        if old is not None and old.value == put.value:
+            return
+        await self._guarded(put, old.mod_rev if old else 0)
+
+    async def _put_head(self, program: Program, head: Head) -> int:
+        key = f'{program_prefix(self._ctx, program.program_id)}head'
+        await self._guarded(Put(key, to_json(head)), program.head_rev)
+        entry = await self._ctx.store.get(key)
+        return entry.mod_rev if entry else 0
+
+    async def _guarded(self, put: Put, mod_rev: int) -> None:
+        if not await self._ctx.writer.write(put, mod_rev, [self._owner.journal.guard]):
+            raise Fenced('checkpoint refused', step=Step.RECORD, peer=put.key)
+
+    async def _trim(self) -> None:
+        """Delete segments whose every record is in a checkpoint."""
+        journal = self._owner.journal
+        low = min(self._first_unsaved.values(), default=journal.next_index)
+        low = min(low, journal.next_index)
+        while self._trimmed < low:
+            upto = min(low, self._trimmed + TRIM_BATCH)
+            ops = [Delete(journal_key(journal.holder, i)) for i in range(self._trimmed, upto)]
+            await self._ctx.store.txn([journal.guard], ops)
+            self._trimmed = upto
+
+
+def program_prefix(ctx: Context, program_id: str) -> str:
+    """Return the prefix of a program's checkpoint."""
+    slot = slot_of_program(program_id, ctx.identity.slots)
+    return f'state/{slot:04x}/{program_id}/'
+
+
+async def load_slot(ctx: Context, slot: int) -> Ledger:
+    """Load the checkpoints of all programs of a slot."""
+    ledger = Ledger()
+    entries = await ctx.store.scan(f'state/{slot:04x}/')
+    for program in _restore_all(entries):
+        ledger.programs[program.program_id] = program
+    return ledger
+
+
+async def load_program(ctx: Context, program_id: str) -> Program | None:
+    """Load one program's checkpoint."""
+    programs = _restore_all(await ctx.store.scan(program_prefix(ctx, program_id)))
+    return programs[0] if programs else None
+
+
+def replay(
+    ctx: Context,
+    slot: int,
+    ledger: Ledger,
+    lineage: list[str],
+    journals: dict[str, list[Segment]],
+) -> None:
+    """Apply the journals' records of a slot that its checkpoints do not contain."""
+    for holder in lineage:
+        for segment in journals[holder]:
+            for record in segment.records:
+                if slot_of_program(record.program_id, ctx.identity.slots) != slot:
+                    continue
+                program = ledger.programs.get(record.program_id)
+                if program is None or segment.index >= program.applied.get(holder, 0):
+                    ledger.apply(record, holder)
+
+
+async def delete_journal(ctx: Context, holder: str, guard: Compare) -> None:
+    """Delete a sealed journal's segments; its incarnation record stays closed."""
+    for entry in await ctx.store.scan(journal_prefix(holder)):
+        await ctx.store.txn([guard], [Delete(entry.key)])
+
+
+def _restore_all(entries: list[KvEntry]) -> list[Program]:
+    heads = [e for e in entries if e.key.endswith('/head')]
+    values = {entry.key: entry.value for entry in entries}
+    programs = []
+    for entry in heads:
+        head = from_json(entry.value, Head)
+        base = entry.key.removesuffix('head')
+        parts = [from_json(values[f'{base}t{i:04d}'], Part) for i in range(head.parts)]
+        programs.append(restore(head, parts, entry.mod_rev))
+    return programs
--- /dev/null
+++ b/libs/entry/toucanlead_entry/daemon.py
@@ -0,0 +1,151 @@
+"""Daemon: an entry with its sockets, from settings to a safe stop."""
+
+import asyncio
+import random
+import socket
+from collections.abc import Callable
+
+import aiohttp
+import structlog
+from aiohttp import web
+
+from toucanlead_backends.http_engine import HttpEngine
+from toucanlead_backends.http_tool import HttpTool
+from toucanlead_core.timers import LoopTimers
+from toucanlead_peer.grpc_transport import GrpcTransport, peer_server
+from toucanlead_platform.etcd import EtcdStore
+from toucanlead_policy.beliefs import CacheBeliefs
+from toucanlead_policy.fleet import Fleet, ReplicaState
+from toucanlead_policy.routing import ExpectedCostRouter
+
+from .admin_api import AdminApi
+from .auth import KeyRing
+from .context import Backends, Context, Identity, Pacing, ToolSpec
+from .entry import Entry
+from .http_api import CallerApi, caller_app
+from .openai_api import ChatApi
+from .settings import Settings
+
+log = structlog.get_logger()
+
+
+class Daemon:
+    """One entry process; port 0 in the settings takes a free port."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        rng: random.Random,
+        pacing: Pacing | None = None,
+        resolve: Callable[[str], str] = str,
+    ) -> None:
+        """Take the settings; `start` opens the sockets."""
+        self.settings = settings
+        self._rng = rng
+        self._pacing = pacing or Pacing()
+        self._runners: list[web.AppRunner] = []
+        self._session: aiohttp.ClientSession | None = None
+        self._transport = GrpcTransport(resolve)
+        self._peer_server = None
+        self.entry: Entry | None = None
+        self.port = 0
+        self.admin_port = 0
+
+    async def start(self) -> None:
+        """Open the sockets and register."""
+        section = self.settings.entry
+        self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        peer_socket = socket.create_server((section.host, section.peer_port))
+        peer_port = peer_socket.getsockname()[1]
+        self.entry = Entry(self._context(f'{section.host}:{peer_port}'))
+        self._peer_server = peer_server(self.entry)
+        await self._peer_server.start(sock=peer_socket)
+        keys = KeyRing(self.settings)
+        callers = caller_app(self.settings.limits)
+        CallerApi(self.entry, keys).add_routes(callers)
+        ChatApi(self.entry, keys).add_routes(callers)
+        admin = caller_app(self.settings.limits)
+        AdminApi(self.entry, keys).add_routes(admin)
+        self.port = await self._listen(callers, section.port)
+        self.admin_port = await self._listen(admin, section.admin_port)
+        await self.entry.start()
+        log.info('entry_started', entry=section.name, port=self.port, peer_port=peer_port)
+
+    async def stop(self) -> None:
+        """Stop safely: hand over, finish all requests, close."""
+        if self.entry is not None:
+            await self.entry.stop()
+        for runner in self._runners:
+            await runner.cleanup()
+        if self._peer_server is not None:
+            self._peer_server.close()
+            await self._peer_server.wait_closed()
+        self._transport.close()
+        if self._session is not None:
+            await self._session.close()
+        log.info('entry_stopped', entry=self.settings.entry.name)
+
+    async def _listen(self, app: web.Application, port: int) -> int:
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=30.0)
+        await runner.setup()
+        sock = socket.create_server((self.settings.entry.host, port), backlog=1024)
+        await web.SockSite(runner, sock).start()
+        self._runners.append(runner)
+        return sock.getsockname()[1]
+
+    def _context(self, peer_address: str) -> Context:
+        settings = self.settings
+        section = settings.entry
+        beliefs = CacheBeliefs()
+        return Context(
+            identity=Identity(
+                section.name, peer_address, section.zone, section.region, section.slots
+            ),
+            store=EtcdStore(self._session, settings.platform.key_value),
+            peers=self._transport,
+            backends=build_backends(settings, self._session),
+            timers=LoopTimers(self._rng),
+            rng=self._rng,
+            router=ExpectedCostRouter(settings.preset, beliefs, self._rng),
+            beliefs=beliefs,
+            fleet=build_fleet(settings),
+            preset=settings.preset,
+            pacing=self._pacing,
+        )
+
+
+def build_backends(settings: Settings, session: aiohttp.ClientSession) -> Backends:
+    """Return clients of all back ends in the settings."""
+    return Backends(
+        engines={r.name: HttpEngine(session, r.address) for r in settings.replicas},
+        services={s.name: HttpTool(session, s.address) for s in settings.services},
+        tools={
+            t.name: ToolSpec(t.name, t.service, t.repeatable, t.price, t.deadline_s)
+            for t in settings.tools
+        },
+    )
+
+
+def build_fleet(settings: Settings) -> Fleet:
+    """Return the replicas in the settings as routing sees them."""
+    fleet = Fleet()
+    for replica in settings.replicas:
+        fleet.add(
+            ReplicaState(
+                replica.name,
+                replica.model,
+                replica.zone,
+                replica.region,
+                replica.slots,
+                replica.prefill_tokens_per_s,
+                replica.decode_token_s,
+            )
+        )
+    return fleet
+
+
+async def run_until(daemon: Daemon, stop: asyncio.Event) -> None:
+    """Run an entry until told to stop, then stop it safely."""
+    await daemon.start()
+    await stop.wait()
+    await daemon.stop()
--- /dev/null
+++ b/libs/entry/toucanlead_entry/doubts.py
@@ -0,0 +1,46 @@
+"""Doubt poller: asks tool services what became of calls in doubt."""
+
+import structlog
+
+from toucanlead_backends.tool import OutcomeState
+from toucanlead_core.errors import PeerError, Refusal
+
+from .context import Context
+from .owner import Owner
+from .slots import SlotKeeper
+
+log = structlog.get_logger()
+
+
+class DoubtPoller:
+    """Settles doubts by late outcomes; "never seen" settles nothing.
+
+    A paused former owner may still send the call, so only an outcome or an
+    operator's word ends a doubt.
+    """
+
+    def __init__(self, ctx: Context, keeper: SlotKeeper) -> None:
+        """Take the slots."""
+        self._ctx = ctx
+        self._keeper = keeper
+
+    async def poll(self) -> None:
+        """Ask once about each doubt."""
+        owner = self._keeper.owner
+        if owner is None:
+            return
+        for program, seq in owner.doubts():
+            await self._ask(owner, program.program_id, seq, program.claims[seq].claim)
+
+    async def _ask(self, owner: Owner, program_id: str, seq: int, claim) -> None:
+        spec = self._ctx.backends.tools.get(claim.tool)
+        service = self._ctx.backends.services.get(spec.service) if spec else None
+        if service is None:
+            return
+        try:
+            outcome = await service.outcome(claim.idempotency_key)
+            if outcome.state is OutcomeState.DONE:
+                await owner.resolve(program_id, seq, outcome.content)
+                log.info('doubt_settled', program=program_id, seq=seq)
+        except (PeerError, Refusal) as exc:
+            log.info('doubt_asked_again', program=program_id, seq=seq, error=str(exc))
--- /dev/null
+++ b/libs/entry/toucanlead_entry/entry.py
@@ -0,0 +1,200 @@
+"""Entry: wires the parts of one entry together, and stops it safely."""
+
+from collections.abc import AsyncIterator
+
+import structlog
+
+from toucanlead_core.errors import (
+    Fenced,
+    PeerError,
+    Reason,
+    Refusal,
+)
+from toucanlead_core.ids import rendezvous, slot_of_program
+from toucanlead_peer.messages import ForwardReq, Frame, ProbeReply, ProbeReq, TailPiece
+from toucanlead_peer.transport import PeerHandler
+from toucanlead_state.ledger import Ledger
+
+from .checkpoints import Checkpoints, delete_journal
+from .coalesce import coalesced
+from .context import Context
+from .doubts import DoubtPoller
+from .gateway import Gateway
+from .loads import LoadPoller
+from .local import LocalService
+from .owner import Owner
+from .releaser import Releaser
+from .slots import SlotKeeper, tolerate
+from .tails import TailKeeper
+
+log = structlog.get_logger()
+
+
+class Entry(PeerHandler):
+    """One entry, apart from its listening sockets."""
+
+    def __init__(self, ctx: Context) -> None:
+        """Build the parts; `start` sets them going."""
+        self.ctx = ctx
+        self.keeper = SlotKeeper(ctx)
+        self.local = LocalService(ctx, self.keeper)
+        self.gateway = Gateway(ctx, self.keeper, self.local)
+        self.releaser = Releaser(ctx, self.keeper)
+        self.tails = TailKeeper(ctx, self.keeper)
+        self.loads = LoadPoller(ctx)
+        self.doubts = DoubtPoller(ctx, self.keeper)
+        self.checkpoints: Checkpoints | None = None
+        self.stopping = False
+        self._timers = []
+        self.keeper.on_new_owner = self._new_owner
+        self.keeper.on_slot = self._slot_taken
+
+    async def start(self) -> None:
+        """Register and subscribe the upkeep to the timer service."""
+        await self.keeper.register()
+        pacing = self.ctx.pacing
+        self._every(pacing.lease_ttl_s / 3, self.keeper.renew, 'lease')
+        self._every(pacing.reconcile_s, self.keeper.reconcile, 'slots')
+        self._every(pacing.load_poll_s, self.loads.poll, 'load')
+        self._every(pacing.sweep_s, self.releaser.sweep, 'sweep')
+        self._every(pacing.doubt_poll_s, self.doubts.poll, 'doubts')
+        self._every(pacing.tail_sweep_s, self.tails.sweep, 'tails')
+        self._every(pacing.reconcile_s * 4, self._upkeep, 'checkpoints')
+        await tolerate(self.keeper.reconcile(), 'first reconcile')
+
+    @property
+    def ready(self) -> bool:
+        """Say whether the entry takes new callers."""
+        return self.keeper.owner is not None and not self.stopping
+
+    async def stop(self) -> None:
+        """Finish what is in progress, hand the slots over, and end."""
+        self.stopping = True
+        while self.keeper.owned and self.keeper.owner is not None:
+            try:
+                if not await self._hand_over_round():
+                    break
+            except (PeerError, Fenced) as exc:
+                log.info('hand_over_retried', error=str(exc))
+            await self.ctx.timers.sleep(0.05)
+        while self.keeper.owner is not None and self.keeper.owner.in_progress:
+            await self.ctx.timers.sleep(0.05)
+        await tolerate(self.keeper.resign(), 'resign')
+        await self.kill()
+
+    async def kill(self) -> None:
+        """End at once, as a crash would."""
+        for subscription in self._timers:
+            subscription.cancel()
+        await self.ctx.tasks.cancel()
+
+    async def forward(self, req: ForwardReq) -> AsyncIterator[Frame]:
+        """Serve a peer's request as the owner, token frames coalesced."""
+        async for frame in coalesced(self.local.forward(req)):
+            yield frame
+
+    async def probe(self, req: ProbeReq) -> ProbeReply:
+        """Answer a probe."""
+        return ProbeReply(self.ctx.identity.entry, 0)
+
+    async def keep_tail(self, piece: TailPiece) -> None:
+        """Keep a peer's tail."""
+        self.tails.keep(piece)
+
+    async def deliver_tail(self, piece: TailPiece) -> None:
+        """Take a tail for a program owned here."""
+        if self.keeper.owner is None:
+            raise Refusal(Reason.NOT_OWNER)
+        await self.tails.take(self.keeper.owner, piece)
+
+    def _every(self, period_s: float, work, name: str) -> None:
+        async def tolerated() -> None:
+            await tolerate(work(), name)
+
+        self._timers.append(self.ctx.timers.every(period_s, tolerated, name))
+
+    def _new_owner(self, owner: Owner) -> None:
+        checkpoints = Checkpoints(self.ctx, owner)
+        self.checkpoints = checkpoints
+        owner.on_durable = checkpoints.note_durable
+        owner.on_ended = lambda program: self.releaser.release(owner, program)
+        owner.on_fenced = lambda: self._fenced(owner)
+
+        async def copy_tail(finished, future):
+            return await self.tails.copy(owner, finished, future)
+
+        owner.copy_tail = copy_tail
+
+    def _slot_taken(self, owner: Owner, staged: Ledger) -> None:
+        owner.take(staged)
+        if self.checkpoints is not None:
+            self.checkpoints.note_taken(list(staged.programs))
+        self.releaser.resume(owner)
+
+    def _fenced(self, owner: Owner) -> None:
+        """Begin again as a new incarnation; others own the slots now."""
+        log.warning('fenced', holder=owner.holder)
+        self.tails.keep_lost(owner.holder, owner.lost)
+        if self.keeper.owner is owner:
+            self.keeper.owner = None
+            self.keeper.owned.clear()
+            if not self.stopping:
+                self.ctx.tasks.spawn(self.keeper.register(), 'register')
+
+    async def _upkeep(self) -> None:
+        owner = self.keeper.owner
+        checkpoints = self.checkpoints
+        if owner is None or checkpoints is None or owner.journal.fenced:
+            return
+        try:
+            await checkpoints.shorten()
+            await self._shorten_lineages(checkpoints)
+            idle_before = self.ctx.timers.now() - self.ctx.pacing.idle_evict_s
+            await checkpoints.evict_idle(idle_before)
+        except Fenced as exc:
+            log.info('upkeep_fenced', error=str(exc))
+
+    async def _shorten_lineages(self, checkpoints: Checkpoints) -> None:
+        keeper = self.keeper
+        long = [s for s in keeper.owned if len(keeper.view.slots[s][0].lineage) > 1]
+        if not long:
+            return
+        await checkpoints.save_all(self._programs_of(set(long)))
+        await keeper.shorten_lineages()
+        for holder in keeper.unreferenced():
+            await delete_journal(self.ctx, holder, keeper.owner.journal.guard)
+            keeper.sealed.discard(holder)
+
+    async def _hand_over_round(self) -> bool:
+        """Hand over the slots that are quiet, or have waited long enough."""
+        heirs = [m for m in self.keeper.view.members.values() if m.entry != self.ctx.identity.entry]
+        if not heirs:
+            return False
+        by_entry = {m.entry: m for m in heirs}
+        for slot in sorted(self.keeper.owned):
+            near = [e for e in self.keeper.candidates() if e in by_entry] or sorted(by_entry)
+            heir = by_entry[rendezvous(f'slot{slot}', near)[0]]
+            await self._hand_over(slot, heir)
+        return bool(self.keeper.owned)
+
+    async def _hand_over(self, slot: int, heir) -> None:
+        owner = self.keeper.owner
+        programs = set(self._programs_of({slot}))
+        if owner.busy(programs):
+            return
+        self.local.hold(slot)
+        try:
+            await owner.journal.flushed()
+            if owner.busy(programs):
+                return
+            await self.checkpoints.settle_and_save(self._programs_of({slot}))
+            if await self.keeper.hand_over(slot, heir):
+                for program_id in self._programs_of({slot}):
+                    owner.drop(program_id)
+        finally:
+            self.local.unhold(slot)
+
+    def _programs_of(self, slots: set[int]) -> list[str]:
+        count = self.ctx.identity.slots
+        programs = self.keeper.owner.ledger.programs
+        return [p for p in programs if slot_of_program(p, count) in slots]
--- /dev/null
+++ b/libs/entry/toucanlead_entry/gateway.py
@@ -0,0 +1,110 @@
+"""Gateway: sends each request to the owner of its program, here or at a peer."""
+
+from collections.abc import AsyncIterator
+
+import orjson
+import structlog
+
+from toucanlead_core.codec import converter
+from toucanlead_core.errors import (
+    NotSent,
+    OutcomeUnknown,
+    Ran,
+    Reason,
+    Refusal,
+    RetryReason,
+    Step,
+)
+from toucanlead_core.ids import slot_of_program
+from toucanlead_core.messages import Chunk
+from toucanlead_peer.messages import ForwardReq, Frame, Result
+
+from .context import Context
+from .local import LocalService
+from .slots import SlotKeeper
+
+log = structlog.get_logger()
+
+RETRY_DELAY_S = 0.1
+RETRY_DELAY_LIMIT_S = 1.0
+_MOVED = (Reason.NOT_OWNER, Reason.OWNERSHIP_LOST)
+
+
+class Gateway:
+    """The one place where requests wait for, and follow, a program's owner.
+
+    Calls are idempotent by program, number and body, so a request whose owner
+    was lost on the way may be sent to the next owner; no other layer retries it.
+    """
+
+    def __init__(self, ctx: Context, keeper: SlotKeeper, local: LocalService) -> None:
+        """Take the slots and the local service."""
+        self._ctx = ctx
+        self._keeper = keeper
+        self._local = local
+
+    async def request(self, req: ForwardReq) -> AsyncIterator[Frame]:
+        """Yield the owner's frames, each token once; raise its Refusal."""
+        slot = slot_of_program(req.program_id, self._ctx.identity.slots)
+        if slot is None:
+            raise self._count(Refusal(Reason.UNKNOWN_PROGRAM, req.program_id))
+        offset = req.from_offset
+        reached = False
+        deadline = self._ctx.timers.now() + self._ctx.pacing.forward_wait_s
+        delay_s = RETRY_DELAY_S
+        while True:
+            try:
+                async for frame in self._attempt(slot, req):
+                    reached = True
+                    if isinstance(frame, Chunk):
+                        if frame.offset < offset:
+                            continue
+                        offset = frame.offset + frame.tokens
+                    yield frame
+                return
+            except Refusal as refusal:
+                reached = reached or refusal.ran is not Ran.NOT_RUN
+                if refusal.reason not in _MOVED:
+                    raise self._count(refusal) from None
+                why, reason = str(refusal), RetryReason.OWNER_MOVED
+            except NotSent as exc:
+                why, reason = str(exc), RetryReason.OWNER_UNREACHABLE
+            except OutcomeUnknown as exc:
+                reached = True
+                why, reason = str(exc), RetryReason.OWNER_UNREACHABLE
+            if self._ctx.timers.now() + delay_s > deadline:
+                raise self._count(_unreachable(why, reached))
+            self._ctx.metrics.retried(reason)
+            await self._ctx.timers.sleep(delay_s)
+            delay_s = min(2 * delay_s, RETRY_DELAY_LIMIT_S)
+
+    async def result(self, req: ForwardReq, kind: type):
+        """Return the typed document of the final frame."""
+        async for frame in self.request(req):
+            if isinstance(frame, Result):
+                return converter.structure(orjson.loads(frame.body), kind)
+        raise self._count(Refusal(Reason.INTERNAL, 'no result', ran=Ran.UNKNOWN))
+
+    def _attempt(self, slot: int, req: ForwardReq) -> AsyncIterator[Frame]:
+        keeper = self._keeper
+        if keeper.owner is not None and slot in keeper.owned:
+            return self._local.forward(req)
+        record = keeper.owner_of(slot)
+        address = keeper.view.address_of(record.holder) if record else None
+        if address is None or address == self._ctx.identity.peer_address:
+            raise NotSent('no live owner', step='forward', peer=f'slot {slot}')
+        return self._ctx.peers.forward(address, req)
+
+    def _count(self, refusal: Refusal) -> Refusal:
+        self._ctx.metrics.refused(refusal.reason)
+        return refusal
+
+
+def _unreachable(why: str, reached: bool) -> Refusal:
+    return Refusal(
+        Reason.OWNER_UNREACHABLE,
+        why,
+        ran=Ran.UNKNOWN if reached else Ran.NOT_RUN,
+        step=Step.ACCEPT,
+        retry_after_ms=1000,
+    )
--- /dev/null
+++ b/libs/entry/toucanlead_entry/http_api.py
@@ -0,0 +1,258 @@
+"""Native HTTP API for callers."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import orjson
+import structlog
+from aiohttp import web
+
+from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.errors import Ran, Reason, Refusal
+from toucanlead_core.ids import child_id_for, program_id_for
+from toucanlead_core.messages import CallReq, Chunk, ProgramSpec
+from toucanlead_peer.messages import ForwardReq, Frame, Operation
+
+from .auth import KeyRing
+from .entry import Entry
+from .problems import problem_document, problem_response
+from .settings import LimitsSection
+
+log = structlog.get_logger()
+
+KEEP_ALIVE_S = 10.0
+MAX_KEY_CHARS = 200
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@web.middleware
+async def refusals(req: web.Request, handler: Handler) -> web.StreamResponse:
+    """Turn refusals and unexpected errors into problem documents."""
+    try:
+        return await handler(req)
+    except Refusal as refusal:
+        return problem_response(refusal)
+    except web.HTTPRequestEntityTooLarge as exc:
+        return problem_response(Refusal(Reason.TOO_LARGE, exc.text or ''))
+    except web.HTTPException:
+        raise
+    except (asyncio.CancelledError, ConnectionResetError):
+        raise
+    except Exception as exc:
+        log.error('request_failed', path=req.path, error=repr(exc))
+        return problem_response(Refusal(Reason.INTERNAL, ran=Ran.UNKNOWN))
+
+
+class CallerApi:
+    """Routes of the native API."""
+
+    def __init__(self, entry: Entry, keys: KeyRing) -> None:
+        """Take the entry that serves."""
+        self._entry = entry
+        self._keys = keys
+
+    def add_routes(self, app: web.Application) -> None:
+        """Register all routes."""
+        app.router.add_post('/v1/programs', self.open)
+        app.router.add_get('/v1/programs/{program}', self.show)
+        app.router.add_delete('/v1/programs/{program}', self.end)
+        app.router.add_post('/v1/programs/{program}/calls', self.call)
+        app.router.add_get('/v1/programs/{program}/calls/{seq}', self.fetch)
+        app.router.add_get('/healthz', self.healthz)
+        app.router.add_get('/readyz', self.readyz)
+        app.router.add_get('/metrics', self.metrics)
+
+    async def open(self, req: web.Request) -> web.StreamResponse:
+        """POST /v1/programs."""
+        team = self._team(req)
+        body = await _json_object(req)
+        body['key'] = self._idempotency_key(req)
+        spec = _structured(orjson.dumps(body), ProgramSpec)
+        _check_spec(spec)
+        program_id = self.program_id(team, spec)
+        forward = ForwardReq(Operation.OPEN, team, program_id, body=to_json(spec))
+        return await self._document(req, forward, status=201)
+
+    async def show(self, req: web.Request) -> web.StreamResponse:
+        """GET /v1/programs/{program}."""
+        forward = ForwardReq(Operation.SHOW, self._team(req), req.match_info['program'])
+        return await self._document(req, forward)
+
+    async def end(self, req: web.Request) -> web.StreamResponse:
+        """DELETE /v1/programs/{program}."""
+        forward = ForwardReq(Operation.END, self._team(req), req.match_info['program'])
+        return await self._document(req, forward)
+
+    async def call(self, req: web.Request) -> web.StreamResponse:
+        """POST /v1/programs/{program}/calls."""
+        team = self._team(req)
+        call = _structured(await req.read(), CallReq)
+        _check_call(call)
+        forward = ForwardReq(
+            Operation.CALL,
+            team,
+            req.match_info['program'],
+            seq=call.seq,
+            body=to_json(call),
+            from_offset=_last_event_id(req),
+        )
+        return await self._follow(req, forward)
+
+    async def fetch(self, req: web.Request) -> web.StreamResponse:
+        """GET /v1/programs/{program}/calls/{seq}."""
+        seq = req.match_info['seq']
+        if not seq.isdecimal() or len(seq) > 9:
+            raise self._count(Refusal(Reason.BAD_REQUEST, f'seq: expected a number, got {seq!r}'))
+        forward = ForwardReq(
+            Operation.FETCH,
+            self._team(req),
+            req.match_info['program'],
+            seq=int(seq),
+            from_offset=_last_event_id(req),
+        )
+        return await self._follow(req, forward)
+
+    async def healthz(self, req: web.Request) -> web.Response:
+        """Say that the process serves."""
+        return web.Response(text='ok\n')
+
+    async def readyz(self, req: web.Request) -> web.Response:
+        """Say whether new callers should come here."""
+        ready = self._entry.ready
+        return web.Response(
+            text='ready\n' if ready else 'not ready\n', status=200 if ready else 503
+        )
+
+    async def metrics(self, req: web.Request) -> web.Response:
+        """Return the metrics as Prometheus text."""
+        return web.Response(body=self._entry.ctx.metrics.text(), content_type='text/plain')
+
+    def program_id(self, team: str, spec: ProgramSpec) -> str:
+        """Return the id that a program gets."""
+        if spec.parent is not None:
+            return child_id_for(spec.parent, spec.key)
+        return program_id_for(team, spec.key, self._entry.ctx.identity.slots)
+
+    def _team(self, req: web.Request) -> str:
+        try:
+            return self._keys.team_of(req)
+        except Refusal as refusal:
+            raise self._count(refusal) from None
+
+    def _idempotency_key(self, req: web.Request) -> str:
+        key = req.headers.get('Idempotency-Key') or self._entry.ctx.nonce()
+        if len(key) > MAX_KEY_CHARS:
+            raise self._count(Refusal(Reason.BAD_REQUEST, 'Idempotency-Key is too long'))
+        return key
+
+    async def _document(
+        self, req: web.Request, forward: ForwardReq, status: int = 200
+    ) -> web.Response:
+        async for frame in self._entry.gateway.request(forward):
+            if not isinstance(frame, Chunk):
+                return web.Response(body=frame.body, status=status, content_type='application/json')
+        raise Refusal(Reason.INTERNAL, 'no result', ran=Ran.UNKNOWN)
+
+    async def _follow(self, req: web.Request, forward: ForwardReq) -> web.StreamResponse:
+        if 'text/event-stream' not in req.headers.get('Accept', ''):
+            return await self._document(req, forward)
+        return await stream_events(req, self._entry.gateway.request(forward))
+
+    def _count(self, refusal: Refusal) -> Refusal:
+        self._entry.ctx.metrics.refused(refusal.reason)
+        return refusal
+
+
+async def stream_events(req: web.Request, frames: AsyncIterator[Frame]) -> web.StreamResponse:
+    """Send frames as server-sent events; the id is the offset after the event."""
+    source = frames.__aiter__()
+    first = await anext(source)  # a refusal before any frame keeps its status
+    resp = web.StreamResponse(headers={'Content-Type': 'text/event-stream'})
+    resp.headers['Cache-Control'] = 'no-store'
+    await resp.prepare(req)
+    try:
+        await resp.write(_event(first))
+        while True:
+            item = await _next_or_keep_alive(resp, source)
+            if item is None:
+                break
+            await resp.write(_event(item))
+    except Refusal as refusal:
+        data = orjson.dumps(problem_document(refusal))
+        await resp.write(b'event: refusal\ndata: ' + data + b'\n\n')
+    except ConnectionResetError:
+        return resp  # the caller hung up; the call goes on and can be fetched
+    await resp.write_eof()
+    return resp
+
+
+async def _next_or_keep_alive(
+    resp: web.StreamResponse, source: AsyncIterator[Frame]
+) -> Frame | None:
+    """Wait for a frame; meanwhile comments show the caller a living connection."""
+    pending = asyncio.ensure_future(anext(source, None))
+    try:
+        while True:
+            done, _ = await asyncio.wait([pending], timeout=KEEP_ALIVE_S)
+            if done:
+                return pending.result()
+            await resp.write(b': keep-alive\n\n')
+    finally:
+        pending.cancel()
+
+
+def _event(frame: Frame) -> bytes:
+    if isinstance(frame, Chunk):
+        end = frame.offset + frame.tokens
+        return b'id: %d\nevent: token\ndata: %s\n\n' % (end, to_json(frame))
+    return b'event: answer\ndata: ' + frame.body + b'\n\n'
+
+
+def _last_event_id(req: web.Request) -> int:
+    text = req.headers.get('Last-Event-ID', '0')
+    if not text.isdecimal() or len(text) > 9:
+        raise Refusal(Reason.BAD_REQUEST, f'Last-Event-ID: expected a number, got {text!r}')
+    return int(text)
+
+
+async def _json_object(req: web.Request) -> dict:
+    try:
+        body = orjson.loads(await req.read())
+    except orjson.JSONDecodeError as exc:
+        raise Refusal(Reason.BAD_REQUEST, f'malformed JSON: {exc}') from None
+    if not isinstance(body, dict):
+        raise Refusal(Reason.BAD_REQUEST, 'expected a JSON object')
+    return body
+
+
+def _structured(body: bytes, kind: type):
+    try:
+        return from_json(body, kind)
+    except ValueError as exc:
+        raise Refusal(Reason.BAD_REQUEST, str(exc)) from None
+
+
+def _check_spec(spec: ProgramSpec) -> None:
+    if spec.budget < 1:
+        raise Refusal(Reason.BAD_REQUEST, f'budget: expected at least 1, got {spec.budget}')
+    if not 0 < spec.deadline_s <= 604_800:
+        raise Refusal(
+            Reason.BAD_REQUEST, f'deadline_s: expected up to 604800, got {spec.deadline_s}'
+        )
+
+
+def _check_call(call: CallReq) -> None:
+    if call.seq < 1:
+        raise Refusal(Reason.BAD_REQUEST, f'seq: expected at least 1, got {call.seq}')
+    if not 1 <= call.max_tokens <= 1_000_000:
+        raise Refusal(Reason.BAD_REQUEST, f'max_tokens: got {call.max_tokens}')
+    if call.kind == 'model' and not call.messages:
+        raise Refusal(Reason.BAD_REQUEST, 'messages: a model call needs at least one')
+    if call.kind != 'model' and not call.tool:
+        raise Refusal(Reason.BAD_REQUEST, 'tool: a tool or app call needs its name')
+
+
+def caller_app(limits: LimitsSection) -> web.Application:
+    """Return an application with the limits and error handling of callers."""
+    return web.Application(client_max_size=limits.body_bytes, middlewares=[refusals])
--- /dev/null
+++ b/libs/entry/toucanlead_entry/journal.py
@@ -0,0 +1,149 @@
+"""Journal: writes one incarnation's segments, fenced by its incarnation record."""
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.errors import Fenced, NotSent, OutcomeUnknown, Step
+from toucanlead_platform.kv import Compare, Put
+from toucanlead_state.batcher import Batcher, commit_delay_s
+from toucanlead_state.records import Record, Segment
+
+from .context import Context
+from .records import incarnation_key, journal_key, journal_prefix
+
+log = structlog.get_logger()
+
+
+class Journal:
+    """Group commits records; `append` resolves once they are durable."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        holder: str,
+        guard_rev: int,
+        on_durable: Callable[[list[Record], int], None],
+        on_fenced: Callable[[list[Record]], None],
+    ) -> None:
+        """Take the holder's name and the revision of its open incarnation record."""
+        self.holder = holder
+        self.fenced = False
+        self._ctx = ctx
+        self._guard = Compare(incarnation_key(holder), guard_rev)
+        self._on_durable = on_durable
+        self._on_fenced = on_fenced
+        self._batcher = Batcher(holder, ctx.pacing.commit_floor_s)
+        self._futures: dict[int, asyncio.Future] = {}
+        self._wake = asyncio.Event()
+        self.members = 1
+        self.last_commit_at = ctx.timers.now()
+
+    @property
+    def guard(self) -> Compare:
+        """Return the condition that fences every write of this incarnation."""
+        return self._guard
+
+    @property
+    def next_index(self) -> int:
+        """Return the index of the next segment."""
+        return self._batcher.next_index
+
+    @property
+    def healthy(self) -> bool:
+        """Say whether commits are not being held up."""
+        return self._batcher.in_flight is None or (
+            self._ctx.timers.now() - self.last_commit_at < 1.0
+        )
+
+    def append(self, records: list[Record], *, urgent: bool = False) -> asyncio.Future:
+        """Queue records; the future fails with Fenced after a takeover."""
+        future = asyncio.get_running_loop().create_future()
+        if self.fenced:
+            future.set_exception(self._fenced_error())
+            return future
+        share = self._ctx.pacing
+        self._batcher.delay_s = commit_delay_s(
+            self.members, share.writes_per_s, share.commit_floor_s
+        )
+        ticket = self._batcher.add(records, self._ctx.timers.now(), urgent=urgent)
+        self._futures[ticket] = future
+        future.add_done_callback(_retrieve)
+        self._wake.set()
+        return future
+
+    async def flushed(self) -> None:
+        """Wait until nothing is queued."""
+        while self._futures and not self.fenced:
+            await asyncio.wait(list(self._futures.values()))
+
+    def undurable(self) -> list[Record]:
+        """Return records that are not known to be durable."""
+        return self._batcher.undurable()
+
+    async def run(self) -> None:
+        """Write segments until fenced."""
+        while not self.fenced:
+            await self._until_due()
+            segment = self._batcher.start(self._ctx.nonce())
+            self.last_commit_at = self._ctx.timers.now()
+            if await self._write(segment):
+                self._commit(segment)
+            else:
+                self.fence()
+
+    def fence(self) -> None:
+        """Fail everything queued; hand on the records that never became durable."""
+        self.fenced = True
+        lost = self._batcher.undurable()
+        for ticket in self._batcher.fail():
+            future = self._futures.pop(ticket)
+            if not future.done():
+                future.set_exception(self._fenced_error())
+        self._on_fenced(lost)
+
+    async def _until_due(self) -> None:
+        while True:
+            due = self._batcher.due_at()
+            now = self._ctx.timers.now()
+            if due is not None and due <= now:
+                return
+            self._wake.clear()
+            timeout = None if due is None else due - now
+            try:
+                await asyncio.wait_for(self._wake.wait(), timeout)
+            except TimeoutError:
+                pass
+
+    async def _write(self, segment: Segment) -> bool:
+        put = Put(journal_key(self.holder, segment.index), to_json(segment))
+        return await self._ctx.writer.write(put, 0, [self._guard])
+
+    def _commit(self, segment: Segment) -> None:
+        tickets = self._batcher.committed()
+        self._on_durable(segment.records, segment.index)
+        for ticket in tickets:
+            future = self._futures.pop(ticket)
+            if not future.done():
+                future.set_result(None)
+
+    def _fenced_error(self) -> Fenced:
+        return Fenced('journal sealed', step=Step.RECORD, peer=self.holder)
+
+
+def _retrieve(future: asyncio.Future) -> None:
+    if not future.cancelled():
+        future.exception()
+
+
+async def read_journal(ctx: Context, holder: str) -> list[Segment]:
+    """Read a journal's segments; retries until the service answers."""
+    while True:
+        try:
+            entries = await ctx.store.scan(journal_prefix(holder))
+            return [from_json(entry.value, Segment) for entry in entries]
+        except (NotSent, OutcomeUnknown) as exc:
+            log.info('journal_read_retried', holder=holder, error=str(exc))
+            await ctx.timers.sleep(0.2)
--- /dev/null
+++ b/libs/entry/toucanlead_entry/live.py
@@ -0,0 +1,68 @@
+"""Live call: one call under way, apart from the connections that wait for it."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from toucanlead_core.errors import Refusal
+from toucanlead_core.messages import Answer, CallReq, Chunk
+
+
+class LiveCall:
+    """Collects chunks; any number of callers may follow from any offset."""
+
+    def __init__(self, program_id: str, req: CallReq, now: float) -> None:
+        """Start without chunks."""
+        self.program_id = program_id
+        self.req = req
+        self.digest = req.digest()
+        self.started_at = now
+        self.task: asyncio.Task | None = None
+        self.touched_backend = False
+        self.reserved = 0
+        self.tokens = 0
+        self._chunks: list[Chunk] = []
+        self._outcome: Answer | Refusal | None = None
+        self._changed = asyncio.Event()
+
+    def publish(self, chunk: Chunk) -> None:
+        """Add a chunk; one that overlaps what is known is dropped."""
+        if chunk.offset != self.tokens:
+            return
+        self._chunks.append(chunk)
+        self.tokens += chunk.tokens
+        self._signal()
+
+    def text(self) -> str:
+        """Return what has been streamed so far."""
+        return ''.join(chunk.text for chunk in self._chunks)
+
+    def finish(self, outcome: Answer | Refusal) -> None:
+        """End the call for all who follow it."""
+        if self._outcome is None:
+            self._outcome = outcome
+            self._signal()
+
+    @property
+    def finished(self) -> bool:
+        """Say whether the outcome is known."""
+        return self._outcome is not None
+
+    async def follow(self, from_offset: int) -> AsyncIterator[Chunk | Answer]:
+        """Yield chunks from an offset in tokens, then the answer, or raise the refusal."""
+        position = 0
+        while True:
+            while position < len(self._chunks):
+                chunk = self._chunks[position]
+                position += 1
+                if chunk.offset >= from_offset:
+                    yield chunk
+            if self._outcome is not None:
+                break
+            await self._changed.wait()
+        if isinstance(self._outcome, Refusal):
+            raise self._outcome
+        yield self._outcome
+
+    def _signal(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/libs/entry/toucanlead_entry/loads.py
@@ -0,0 +1,41 @@
+"""Load poller: bounded polls of load reports and cache events per round."""
+
+import structlog
+
+from toucanlead_core.errors import PeerError
+
+from .context import Context
+
+log = structlog.get_logger()
+
+POLLS_PER_ROUND = 32  # keeps an entry's cost constant in the number of replicas
+
+
+class LoadPoller:
+    """Reads some replicas' reports each round."""
+
+    def __init__(self, ctx: Context) -> None:
+        """Start with no events read."""
+        self._ctx = ctx
+        self._since: dict[str, int] = {}
+
+    async def poll(self) -> None:
+        """Poll a random share of the replicas."""
+        names = list(self._ctx.backends.engines)
+        if len(names) > POLLS_PER_ROUND:
+            names = self._ctx.rng.sample(names, POLLS_PER_ROUND)
+        for name in names:
+            try:
+                await self._poll_one(name)
+            except PeerError as exc:
+                log.debug('load_poll_failed', replica=name, error=str(exc))
+
+    async def _poll_one(self, name: str) -> None:
+        engine = self._ctx.backends.engines[name]
+        replica = self._ctx.fleet.replicas.get(name)
+        report = await engine.load()
+        if replica is not None:
+            replica.report(report.running, report.waiting, self._ctx.timers.now() - report.age_s)
+        for event in await engine.events(self._since.get(name, 0)):
+            self._since[name] = max(event.number, self._since.get(name, 0))
+            self._ctx.beliefs.event(name, event.number, event.program_id, event.cached_tokens)
--- /dev/null
+++ b/libs/entry/toucanlead_entry/model_calls.py
@@ -0,0 +1,270 @@
+"""Model calls: route, stream with progress timeouts, resume on another replica."""
+
+import asyncio
+
+from attrs import define, field
+
+from toucanlead_backends.engine import GenerateEnd, GenerateReq
+from toucanlead_core.errors import (
+    NotSent,
+    OutcomeUnknown,
+    Ran,
+    Reason,
+    Refusal,
+    RetryReason,
+    Step,
+)
+from toucanlead_core.messages import Answer, Chunk, Message, count_tokens
+from toucanlead_policy.admission import admit_turn
+from toucanlead_policy.priority import ProgramService, engine_priority
+from toucanlead_policy.retry import Breaker, RetryBudget, backoff_s
+from toucanlead_policy.routing import Choice, Turn
+from toucanlead_state.ledger import Ledger, Program
+
+from .context import Context
+from .live import LiveCall
+from .spending import Spending
+from .waiting import with_progress
+
+
+@define
+class _Progress:
+    """What one call has cost and received so far, in tokens."""
+
+    new_tokens: int
+    attempts: int = 0
+    prompted: bool = False
+    avoid: set[str] = field(factory=set)
+    end: GenerateEnd | None = None
+
+
+class ModelCalls:
+    """Runs model calls for the programs of one owner."""
+
+    def __init__(self, ctx: Context, ledger: Ledger, spending: Spending) -> None:
+        """Take the books of one incarnation."""
+        self._ctx = ctx
+        self._ledger = ledger
+        self._spending = spending
+        self._breaker = Breaker()
+        self._retries = RetryBudget(ctx.preset.retry_share)
+        self.touched: dict[str, set[str]] = {}
+
+    async def run(self, program: Program, live: LiveCall, opened_at: float) -> Answer:
+        """Return the complete answer, or raise a Refusal that says whether it ran."""
+        req = live.req
+        self._admit(program)
+        new_tokens = sum(count_tokens(m.content) for m in req.messages)
+        progress = _Progress(new_tokens)
+        await self._spending.reserve(program, live, new_tokens + req.max_tokens)
+        await self._ctx.reached(Step.RESERVE, program.program_id, req.seq)
+        try:
+            return await self._attempts(program, live, progress, opened_at)
+        except asyncio.CancelledError:
+            if progress.attempts:
+                self._spending.spend_reserved(program, live, '')
+            raise
+
+    def _admit(self, program: Program) -> None:
+        ctx = self._ctx
+        wait_s = admit_turn(ctx.fleet, program.opened.model, ctx.preset)
+        if wait_s is not None:
+            raise Refusal(
+                Reason.OVERLOAD,
+                'queues are too long',
+                step=Step.ROUTE,
+                retry_after_ms=int(1000 * wait_s) + 1,
+            )
+
+    async def _attempts(
+        self, program: Program, live: LiveCall, progress: _Progress, opened_at: float
+    ) -> Answer:
+        messages = [*program.history(), *live.req.messages]
+        self._retries.request()
+        while True:
+            choice = self._choose(program, messages, live, progress)
+            await self._ctx.reached(Step.ROUTE, program.program_id, live.req.seq)
+            try:
+                await self._stream(program, live, progress, messages, choice, opened_at)
+                return self._answer(program, live, progress, choice)
+            except NotSent as exc:
+                await self._not_sent(exc, live, progress, choice)
+            except OutcomeUnknown as exc:
+                await self._broken(exc, program, live, progress, choice)
+
+    def _choose(
+        self, program: Program, messages: list[Message], live: LiveCall, progress: _Progress
+    ) -> Choice:
+        ctx = self._ctx
+        now = ctx.timers.now()
+        turn = Turn(
+            program_id=program.program_id,
+            model=program.opened.model,
+            region=ctx.identity.region,
+            prompt_tokens=sum(count_tokens(m.content) for m in messages),
+            prompt_bytes=sum(len(m.content) for m in messages),
+            max_tokens=live.req.max_tokens,
+        )
+        avoid = self._breaker.blocked(now) | progress.avoid
+        choice = ctx.router.choose(turn, ctx.fleet, now, frozenset(avoid))
+        if choice is None:
+            choice = ctx.router.choose(turn, ctx.fleet, now, frozenset(progress.avoid))
+        if choice is None:
+            raise self._refusal(Reason.NO_REPLICA, 'no replica can be used', live, Step.ROUTE)
+        return choice
+
+    async def _stream(
+        self,
+        program: Program,
+        live: LiveCall,
+        progress: _Progress,
+        messages: list[Message],
+        choice: Choice,
+        opened_at: float,
+    ) -> None:
+        ctx = self._ctx
+        replica = ctx.fleet.replicas[choice.replica]
+        engine = ctx.backends.engines[choice.replica]
+        prefill = sum(count_tokens(m.content) for m in messages) - choice.cached_tokens
+        req = self._generate_req(program, live, messages, opened_at)
+        self.touched.setdefault(program.program_id, set()).add(choice.replica)
+        started_at = ctx.timers.now()
+        served_s = None
+        replica.sent(prefill)
+        progress.attempts += 1
+        await ctx.reached(Step.SEND, program.program_id, live.req.seq)
+        try:
+            preset = ctx.preset
+            source = with_progress(
+                engine.generate(req),
+                preset.first_token_timeout_s,
+                preset.progress_timeout_s,
+                choice.replica,
+            )
+            async for item in source:
+                await self._take(item, program, live, progress, started_at)
+            served_s = ctx.timers.now() - started_at
+        finally:
+            replica.done(prefill, served_s)
+        self._breaker.succeeded(choice.replica)
+
+    def _generate_req(
+        self, program: Program, live: LiveCall, messages: list[Message], opened_at: float
+    ) -> GenerateReq:
+        ctx = self._ctx
+        now = ctx.timers.now()
+        service = ProgramService(
+            attained_tokens=self._ledger.escrow_of(program).spent,
+            opened_at=opened_at,
+            deadline_s=program.opened.deadline_s,
+            waiting_s=now - live.started_at,
+            critical=program.opened.parent is not None,
+        )
+        return GenerateReq(
+            request_id=ctx.nonce(),
+            program_id=program.program_id,
+            seq=live.req.seq,
+            model=program.opened.model,
+            messages=messages,
+            max_tokens=live.req.max_tokens,
+            priority=engine_priority(service, now, ctx.preset.aging_s),
+            resume_from=live.tokens,
+            resume_text=live.text(),
+        )
+
+    async def _take(
+        self,
+        item: Chunk | GenerateEnd,
+        program: Program,
+        live: LiveCall,
+        progress: _Progress,
+        started_at: float,
+    ) -> None:
+        live.touched_backend = True
+        if isinstance(item, GenerateEnd):
+            progress.end = item
+            return
+        if live.tokens == 0:
+            self._ctx.metrics.first_token.observe(self._ctx.timers.now() - started_at)
+            await self._ctx.reached(Step.STREAM, program.program_id, live.req.seq)
+        live.publish(item)
+
+    def _answer(
+        self, program: Program, live: LiveCall, progress: _Progress, choice: Choice
+    ) -> Answer:
+        end = progress.end or GenerateEnd(0, 0, 0)
+        beliefs = self._ctx.beliefs
+        beliefs.measured(
+            program.program_id, choice.replica, choice.cached_tokens, end.cached_tokens
+        )
+        beliefs.answered(program.program_id, choice.replica, end.prompt_tokens, end.output_tokens)
+        charged = 0 if progress.prompted else progress.new_tokens
+        return Answer(
+            program_id=program.program_id,
+            seq=live.req.seq,
+            content=live.text(),
+            cost=charged + end.output_tokens,
+            prompt_tokens=end.prompt_tokens,
+            cached_tokens=end.cached_tokens,
+            output_tokens=live.tokens,
+            replica=choice.replica,
+        )
+
+    async def _not_sent(
+        self, exc: NotSent, live: LiveCall, progress: _Progress, choice: Choice
+    ) -> None:
+        self._fail_replica(choice.replica, progress)
+        self._may_retry(str(exc), live, progress, choice.replica)
+        self._ctx.metrics.retried(RetryReason.CONNECT_FAILED)
+        await self._ctx.timers.sleep(backoff_s(progress.attempts, self._ctx.rng))
+
+    async def _broken(
+        self,
+        exc: OutcomeUnknown,
+        program: Program,
+        live: LiveCall,
+        progress: _Progress,
+        choice: Choice,
+    ) -> None:
+        """Charge the whole reservation, then resume elsewhere out of a new one.
+
+        Through a connection gone silent the engine may have gone on to the
+        end of the answer, so nothing less is certain to cover it.
+        """
+        live.touched_backend = True
+        self._fail_replica(choice.replica, progress)
+        self._spending.spend_reserved(program, live, choice.replica)
+        self._may_retry(str(exc), live, progress, choice.replica)
+        silent = 'silent' in exc.detail
+        reason = RetryReason.STREAM_SILENT if silent else RetryReason.STREAM_BROKEN
+        self._ctx.metrics.retried(reason)
+        progress.prompted = progress.prompted or live.tokens > 0
+        await self._renew(program, live, progress)
+
+    async def _renew(self, program: Program, live: LiveCall, progress: _Progress) -> None:
+        again = live.req.max_tokens - live.tokens
+        if not progress.prompted:
+            again += progress.new_tokens
+        try:
+            await self._spending.reserve(program, live, again)
+        except Refusal as refusal:
+            raise self._refusal(refusal.reason, refusal.detail, live, Step.RESERVE) from None
+
+    def _fail_replica(self, name: str, progress: _Progress) -> None:
+        now = self._ctx.timers.now()
+        self._breaker.failed(name, now)
+        progress.avoid.add(name)
+        replica = self._ctx.fleet.replicas.get(name)
+        if replica is not None:
+            replica.failed(now)
+
+    def _may_retry(self, detail: str, live: LiveCall, progress: _Progress, peer: str) -> None:
+        limit = self._ctx.preset.attempts
+        if progress.attempts >= limit or not self._retries.allow():
+            raise self._refusal(Reason.BACKEND_FAILED, detail, live, Step.SEND, peer)
+
+    def _refusal(
+        self, reason: Reason, detail: str, live: LiveCall, step: Step, peer: str = ''
+    ) -> Refusal:
+        ran = Ran.UNKNOWN if live.touched_backend else Ran.NOT_RUN
+        return Refusal(reason, detail, ran=ran, step=step, peer=peer, retry_after_ms=500)
--- /dev/null
+++ b/libs/entry/toucanlead_entry/owner.py
@@ -0,0 +1,497 @@
+"""Owner: the programs of the slots that this incarnation of the entry owns."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import structlog
+from attrs import define, evolve, field
+
+from toucanlead_core.errors import Fenced, Ran, Reason, Refusal, Step
+from toucanlead_core.messages import (
+    Answer,
+    CallKind,
+    CallReq,
+    Chunk,
+    Durability,
+    Message,
+    ProgramSpec,
+    ProgramView,
+    count_tokens,
+)
+from toucanlead_policy.admission import admit_program
+from toucanlead_policy.limits import TeamLimits, runaway
+from toucanlead_policy.retention import PauseModel
+from toucanlead_state.ledger import Ledger, Program
+from toucanlead_state.records import (
+    Adopted,
+    Ended,
+    Finished,
+    Granted,
+    Opened,
+    Record,
+    Unclaimed,
+)
+
+from .context import Context
+from .journal import Journal
+from .live import LiveCall
+from .model_calls import ModelCalls
+from .spending import Spending
+from .tool_calls import ToolCalls, tool_answer
+from .waiting import within
+
+log = structlog.get_logger()
+
+FIRST_GRANT_SHARE = 0.5
+
+
+@define
+class Runtime:
+    """What is known of a program in memory only."""
+
+    opened_at: float
+    touched_at: float
+    advanced: asyncio.Event = field(factory=asyncio.Event)
+    running: int | None = None
+    ending: bool = False
+    bodies: list[str] = field(factory=list)
+
+
+class Owner:
+    """Serves calls in order, and writes what must last before it answers."""
+
+    def __init__(self, ctx: Context, holder: str, guard_rev: int) -> None:
+        """Start with no slots, under an open incarnation record."""
+        self.holder = holder
+        self.ledger = Ledger()
+        self.journal = Journal(ctx, holder, guard_rev, self._on_durable, self._on_fenced)
+        self.spending = Spending(ctx, self.ledger, self.journal)
+        self.models = ModelCalls(ctx, self.ledger, self.spending)
+        self.tools = ToolCalls(ctx, self.journal, self.spending)
+        self.pauses = PauseModel()
+        self.lost: list[Record] = []
+        self._ctx = ctx
+        self._limits = TeamLimits()
+        self._runtimes: dict[str, Runtime] = {}
+        self._live: dict[tuple[str, int], LiveCall] = {}
+        self._applied_early: set[int] = set()
+        self._evicted: set[str] = set()
+        self.on_ended = lambda program: None
+        self.on_fenced = lambda: None
+        self.on_durable = lambda records, index: None
+        self.copy_tail = None
+
+    def start(self) -> None:
+        """Begin to write the journal."""
+        self._ctx.tasks.spawn(self.journal.run(), f'journal {self.holder}')
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of calls under way."""
+        return len(self._live)
+
+    def busy(self, program_ids: set[str]) -> bool:
+        """Say whether any of these programs has a call under way."""
+        return any(program_id in program_ids for program_id, _ in self._live)
+
+    def runtime(self, program_id: str) -> Runtime:
+        """Return what is known in memory of a program."""
+        now = self._ctx.timers.now()
+        return self._runtimes.setdefault(program_id, Runtime(now, now))
+
+    async def open(self, team: str, program_id: str, spec: ProgramSpec) -> ProgramView:
+        """Open a program; the same key and body give the same program."""
+        digest = _spec_digest(spec)
+        known = self.ledger.programs.get(program_id)
+        if known is not None:
+            return self._reopened(known, team, digest)
+        self._check_open(team, spec)
+        first = 0 if spec.parent else int(spec.budget * FIRST_GRANT_SHARE)
+        grant = min(first, 4096)
+        record = Opened(
+            program_id,
+            team,
+            spec.model,
+            spec.budget,
+            spec.key,
+            spec.deadline_s,
+            spec.parent,
+            grant,
+            digest,
+        )
+        await self._durably([record], Step.ACCEPT)
+        return self.ledger.view(self._known(team, program_id), with_history=False)
+
+    async def call(
+        self, team: str, program_id: str, req: CallReq, from_offset: int
+    ) -> AsyncIterator[Chunk | Answer]:
+        """Follow a call: stored, under way, or begun now."""
+        program = self._known(team, program_id)
+        stored = self._stored(program, req)
+        if stored is not None:
+            yield stored
+            return
+        live = self._join_or_start(program, req)
+        async for item in live.follow(from_offset):
+            yield item
+
+    async def fetch(
+        self, team: str, program_id: str, seq: int, from_offset: int
+    ) -> AsyncIterator[Chunk | Answer]:
+        """Follow a call that was made before, or return its stored answer."""
+        program = self._known(team, program_id)
+        if 1 <= seq < program.next_seq:
+            yield program.turns[seq - 1].answer
+            return
+        live = self._live.get((program_id, seq))
+        if live is None:
+            if self.tools.in_doubt(program, seq):
+                raise Refusal(Reason.IN_DOUBT, f'call {seq}', ran=Ran.UNKNOWN, step=Step.ANSWER)
+            raise Refusal(Reason.UNKNOWN_CALL, f'call {seq}')
+        async for item in live.follow(from_offset):
+            yield item
+
+    def show(self, team: str, program_id: str) -> ProgramView:
+        """Return a program's history and spend."""
+        return self.ledger.view(self._known(team, program_id), with_history=True)
+
+    async def end(self, team: str, program_id: str) -> ProgramView:
+        """End a program and its sub-agents, once their running calls are over."""
+        program = self._known(team, program_id)
+        for child in self.ledger.children_of(program_id):
+            await self.end(team, child.program_id)
+        if not program.ended:
+            await self._stop_calls(program)
+            await self._durably([Ended(program_id)], Step.RECORD)
+        self.on_ended(program)
+        return self.ledger.view(program, with_history=False)
+
+    def alive(self, program_id: str) -> bool:
+        """Say whether engines may hold memory for a program."""
+        program = self.ledger.programs.get(program_id)
+        return program is not None and not program.ended
+
+    def doubts(self) -> list[tuple[Program, int]]:
+        """Return calls whose outcome is unknown."""
+        return [
+            (program, seq)
+            for program in self.ledger.programs.values()
+            for seq in program.claims
+            if (program.program_id, seq) not in self._live and self.tools.in_doubt(program, seq)
+        ]
+
+    async def resolve(self, program_id: str, seq: int, content: str | None) -> None:
+        """Settle a doubt: with the outcome, or None when it provably did not run."""
+        program = self.ledger.programs.get(program_id)
+        if program is None or seq not in program.claims:
+            raise Refusal(Reason.UNKNOWN_CALL, f'no doubt about call {seq}')
+        claim = program.claims[seq].claim
+        holder = program.claims[seq].holder
+        if content is None:
+            await self._durably([Unclaimed(program_id, seq)], Step.RECORD)
+            self.tools.settled(program, seq, self.ledger.escrow_of(program))
+            return
+        spec = self._ctx.backends.tools[claim.tool]
+        req = CallReq(seq, CallKind.TOOL, tool=claim.tool)
+        answer = tool_answer(program_id, seq, content, spec)
+        finished = Finished(program_id, seq, claim.digest, req, answer, 0)
+        await self._durably([Adopted(program_id, holder, finished)], Step.RECORD)
+        self.tools.settled(program, seq, self.ledger.escrow_of(program))
+
+    def take(self, staged: Ledger) -> None:
+        """Take the programs of a slot that was claimed."""
+        self.ledger.programs.update(staged.programs)
+        self._ctx.metrics.programs.set(len(self.ledger.programs))
+
+    def has_evicted(self, program_id: str) -> bool:
+        """Say whether a program may be in the service and not in memory."""
+        return program_id in self._evicted
+
+    def evict(self, program_id: str) -> None:
+        """Remove a saved program from memory, to be loaded again on demand."""
+        self.drop(program_id)
+        self._evicted.add(program_id)
+
+    def adopt(self, program: Program) -> None:
+        """Take a program into memory that was loaded from the service."""
+        self.ledger.programs[program.program_id] = program
+        self._evicted.discard(program.program_id)
+
+    def drop(self, program_id: str) -> None:
+        """Remove a program from memory; it is saved or belongs to another owner."""
+        self.ledger.programs.pop(program_id, None)
+        self._runtimes.pop(program_id, None)
+        self.models.touched.pop(program_id, None)
+
+    def _reopened(self, known: Program, team: str, digest: str) -> ProgramView:
+        if known.opened.team != team:
+            raise Refusal(Reason.UNKNOWN_PROGRAM)
+        if known.opened.digest != digest:
+            raise Refusal(Reason.BODY_MISMATCH, 'same key, other program')
+        return self.ledger.view(known, with_history=False)
+
+    def _check_open(self, team: str, spec: ProgramSpec) -> None:
+        ctx = self._ctx
+        if spec.model not in ctx.fleet.models():
+            raise Refusal(Reason.UNKNOWN_MODEL, spec.model)
+        if spec.parent is not None:
+            parent = self._known(team, spec.parent)
+            if parent.ended or self.runtime(spec.parent).ending:
+                raise Refusal(Reason.PROGRAM_ENDED, spec.parent)
+            return
+        wait_s = admit_program(ctx.fleet, spec.model, ctx.preset)
+        if wait_s is not None:
+            raise Refusal(
+                Reason.OVERLOAD,
+                'new programs are turned away',
+                step=Step.ACCEPT,
+                retry_after_ms=int(1000 * wait_s) + 1,
+            )
+
+    def _known(self, team: str, program_id: str) -> Program:
+        program = self.ledger.programs.get(program_id)
+        if program is None or program.opened.team != team:
+            raise Refusal(Reason.UNKNOWN_PROGRAM, program_id)
+        self.runtime(program_id).touched_at = self._ctx.timers.now()
+        return program
+
+    def _stored(self, program: Program, req: CallReq) -> Answer | None:
+        if req.seq >= program.next_seq:
+            return None
+        turn = program.turns[req.seq - 1]
+        if turn.digest != req.digest():
+            raise Refusal(Reason.BODY_MISMATCH, f'call {req.seq} was made with another body')
+        return turn.answer
+
+    def _join_or_start(self, program: Program, req: CallReq) -> LiveCall:
+        key = (program.program_id, req.seq)
+        live = self._live.get(key)
+        if live is not None:
+            if live.digest != req.digest():
+                raise Refusal(Reason.BODY_MISMATCH, f'call {req.seq} is under way')
+            return live
+        self._check_not_ended(program)
+        live = LiveCall(program.program_id, req, self._ctx.timers.now())
+        self._live[key] = live
+        self._ctx.metrics.in_progress.set(len(self._live))
+        live.task = self._ctx.tasks.spawn(self._run(program, live), f'call {key}')
+        return live
+
+    def _check_not_ended(self, program: Program) -> None:
+        if program.ended or self.runtime(program.program_id).ending:
+            raise Refusal(Reason.PROGRAM_ENDED, program.program_id)
+
+    async def _run(self, program: Program, live: LiveCall) -> None:
+        key = (program.program_id, live.req.seq)
+        try:
+            live.finish(await self._steps(program, live))
+        except Refusal as refusal:
+            live.finish(refusal)
+        except Fenced as exc:
+            live.finish(_ownership_lost(live, exc))
+        except asyncio.CancelledError:
+            live.finish(_cancelled(live))
+            raise
+        except Exception as exc:
+            log.error('call_failed', program=key[0], seq=key[1], error=repr(exc))
+            ran = Ran.UNKNOWN if live.touched_backend else Ran.NOT_RUN
+            live.finish(Refusal(Reason.INTERNAL, ran=ran))
+        finally:
+            self.spending.release(program, live)
+            del self._live[key]
+            self._ctx.metrics.in_progress.set(len(self._live))
+
+    async def _steps(self, program: Program, live: LiveCall) -> Answer:
+        runtime = self.runtime(program.program_id)
+        await self._ctx.reached(Step.ACCEPT, program.program_id, live.req.seq)
+        await self._wait_turn(program, runtime, live)
+        runtime.running = live.req.seq
+        try:
+            await self._ctx.reached(Step.ORDER, program.program_id, live.req.seq)
+            stored = self._stored(program, live.req)
+            if stored is not None:
+                return stored
+            self._check_doubt(program, live)
+            self._check_limits(program, runtime, live)
+            answer = await self._limited(program, live, runtime)
+        finally:
+            runtime.running = None
+            runtime.touched_at = self._ctx.timers.now()
+            runtime.advanced.set()
+            runtime.advanced = asyncio.Event()
+        return answer
+
+    async def _wait_turn(self, program: Program, runtime: Runtime, live: LiveCall) -> None:
+        """Wait until the program's earlier calls have taken effect."""
+        limit = self._ctx.timers.now() + self._ctx.preset.gap_wait_s
+        while program.next_seq < live.req.seq or runtime.running is not None:
+            left_s = limit - self._ctx.timers.now()
+            if left_s <= 0 and runtime.running is None:
+                raise Refusal(
+                    Reason.SEQ_GAP,
+                    f'call {program.next_seq} comes first',
+                    step=Step.ORDER,
+                    retry_after_ms=1000,
+                )
+            try:
+                await asyncio.wait_for(runtime.advanced.wait(), max(left_s, 0.05))
+            except TimeoutError:
+                continue
+
+    def _check_doubt(self, program: Program, live: LiveCall) -> None:
+        if self.tools.in_doubt(program, live.req.seq):
+            raise Refusal(
+                Reason.IN_DOUBT,
+                f'call {live.req.seq} may have run; it is not sent again',
+                ran=Ran.UNKNOWN,
+                step=Step.ORDER,
+                retry_after_ms=2000,
+            )
+        self._check_not_ended(program)
+
+    def _check_limits(self, program: Program, runtime: Runtime, live: LiveCall) -> None:
+        ctx = self._ctx
+        body = _repeat_key(live.req)
+        turns = len(program.turns)
+        reason = runaway(runtime.bodies, body, turns, ctx.preset)
+        if reason is not None:
+            raise Refusal(reason, f'after {turns} calls', step=Step.ORDER)
+        if ctx.timers.now() > runtime.opened_at + program.opened.deadline_s:
+            raise Refusal(Reason.DEADLINE, 'the program is out of time', step=Step.ORDER)
+
+    async def _limited(self, program: Program, live: LiveCall, runtime: Runtime) -> Answer:
+        ctx = self._ctx
+        team = program.opened.team
+        tokens = live.req.max_tokens if live.req.kind is CallKind.MODEL else 1
+        wait_s = self._limits.refuse(team, tokens, ctx.preset, ctx.timers.now())
+        if wait_s is not None:
+            raise Refusal(
+                Reason.TEAM_LIMIT,
+                team,
+                step=Step.RESERVE,
+                retry_after_ms=int(1000 * wait_s) + 1,
+            )
+        self._limits.start(team, tokens)
+        used = 0
+        try:
+            if live.req.kind is CallKind.MODEL:
+                answer = await self.models.run(program, live, runtime.opened_at)
+            else:
+                answer = await self.tools.run(program, live)
+            used = answer.output_tokens
+        finally:
+            self._limits.finish(team, max(0, tokens - used))
+        live.touched_backend = True
+        runtime.bodies = [*runtime.bodies[-32:], _repeat_key(live.req)]
+        return await self._record(program, live, answer)
+
+    async def _record(self, program: Program, live: LiveCall, answer: Answer) -> Answer:
+        """Make the outcome durable before the caller hears of it."""
+        req = live.req
+        await self._ctx.reached(Step.ANSWER, program.program_id, req.seq)
+        reserved = sum(count_tokens(m.content) for m in req.messages) + req.max_tokens
+        grant = self.spending.grant_ahead(program, live, reserved, answer.cost)
+        finished = Finished(program.program_id, req.seq, live.digest, req, answer, grant)
+        future = self.journal.append([finished])
+        await self._ctx.reached(Step.RECORD, program.program_id, req.seq)
+        if await within(self._ctx.timers, future, self._ctx.preset.record_wait_s):
+            return answer
+        copied = self.copy_tail is not None and await self.copy_tail(finished, future)
+        if copied and not future.done():
+            self._apply_early(finished)
+            return evolve(answer, durability=Durability.ZONE)
+        await future
+        return answer
+
+    def _apply_early(self, finished: Finished) -> None:
+        """Let the program go on from an outcome that peers keep a copy of.
+
+        Its grant stays out: only what is durable in the service may be spent.
+        """
+        self._applied_early.add(id(finished))
+        self.ledger.apply(evolve(finished, grant=0), self.holder)
+
+    async def _stop_calls(self, program: Program) -> None:
+        self.runtime(program.program_id).ending = True
+        lives = [c for (pid, _), c in self._live.items() if pid == program.program_id]
+        for live in lives:
+            if live.req.kind is CallKind.MODEL and live.task is not None:
+                live.task.cancel()
+        tasks = [live.task for live in lives if live.task is not None]
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def _durably(self, records: list[Record], step: Step) -> None:
+        future = self.journal.append(records)
+        wait_s = self._ctx.preset.claim_wait_s + self._ctx.preset.record_wait_s
+        try:
+            durable = await within(self._ctx.timers, future, wait_s)
+        except Fenced as exc:
+            raise Refusal(
+                Reason.OWNERSHIP_LOST, exc.detail, ran=Ran.UNKNOWN, step=step, peer=exc.peer
+            ) from exc
+        if not durable:
+            raise Refusal(
+                Reason.PLATFORM_DOWN,
+                'the record is not durable yet; ask again',
+                ran=Ran.UNKNOWN,
+                step=step,
+                peer='key-value service',
+                retry_after_ms=1000,
+            )
+
+    def _on_durable(self, records: list[Record], index: int) -> None:
+        for record in records:
+            self._apply(record)
+        self.on_durable(records, index)
+        self._ctx.metrics.programs.set(len(self.ledger.programs))
+
+    def _apply(self, record: Record) -> None:
+        granted = _granted(record)
+        if granted:
+            program = self.ledger.programs.get(record.program_id)
+            if program is not None:
+                root = self.ledger.root_of(program).program_id
+                self.spending.note_durable(root, granted)
+        if id(record) in self._applied_early:
+            self._applied_early.discard(id(record))
+            if granted:
+                self.ledger.apply(Granted(record.program_id, granted), self.holder)
+            return
+        self.ledger.apply(record, self.holder)
+
+    def _on_fenced(self, lost: list[Record]) -> None:
+        self.lost = lost
+        self.on_fenced()
+
+
+def _granted(record: Record) -> int:
+    if isinstance(record, Finished):
+        return record.grant
+    return record.units if isinstance(record, Granted) else 0
+
+
+def _spec_digest(spec: ProgramSpec) -> str:
+    texts = [spec.model, str(spec.budget), str(spec.deadline_s), spec.parent or '']
+    return CallReq(0, CallKind.MODEL, [Message('spec', t) for t in texts]).digest()
+
+
+def _repeat_key(req: CallReq) -> str:
+    return evolve(req, seq=0).digest()
+
+
+def _ownership_lost(live: LiveCall, exc: Fenced) -> Refusal:
+    ran = Ran.UNKNOWN if live.touched_backend else Ran.NOT_RUN
+    return Refusal(
+        Reason.OWNERSHIP_LOST,
+        'another entry took the program over; ask again',
+        ran=ran,
+        step=Step.RECORD,
+        peer=exc.peer,
+        retry_after_ms=500,
+    )
+
+
+def _cancelled(live: LiveCall) -> Refusal:
+    ran = Ran.UNKNOWN if live.touched_backend else Ran.NOT_RUN
+    return Refusal(Reason.PROGRAM_ENDED, 'the program was ended', ran=ran, step=Step.STREAM)
--- /dev/null
+++ b/libs/entry/toucanlead_entry/records.py
@@ -0,0 +1,69 @@
+"""Coordination records in the key-value service, and their keys."""
+
+from attrs import field, frozen
+
+
+@frozen
+class MemberRecord:
+    """A live entry; the key is bound to its lease."""
+
+    entry: str
+    holder: str
+    peer_address: str
+    zone: str
+    region: str
+    nonce: str
+
+
+@frozen
+class IncarnationRecord:
+    """One run of an entry; every journal append is conditional on it."""
+
+    holder: str
+    sealed_by: str
+    nonce: str
+
+
+@frozen
+class SlotRecord:
+    """Who owns a slot, and whose journals hold its unsaved records."""
+
+    slot: int
+    holder: str
+    epoch: int
+    nonce: str
+    lineage: list[str] = field(factory=list)
+
+
+MEMBERS = 'members/'
+SLOTS = 'slots/'
+
+
+def member_key(entry: str) -> str:
+    """Return the key of a member record."""
+    return f'{MEMBERS}{entry}'
+
+
+def incarnation_key(holder: str) -> str:
+    """Return the key of an incarnation record."""
+    return f'incarnations/{holder}'
+
+
+def slot_key(slot: int) -> str:
+    """Return the key of a slot record."""
+    return f'{SLOTS}{slot:04x}'
+
+
+def journal_prefix(holder: str) -> str:
+    """Return the prefix of a holder's journal."""
+    return f'journal/{holder}/'
+
+
+def journal_key(holder: str, index: int) -> str:
+    """Return the key of a journal segment."""
+    return f'{journal_prefix(holder)}{index:08d}'
+
+
+def holder_name(entry: str, incarnation: int) -> str:
+    """Return the name of one incarnation of an entry."""
+    return f'{entry}.{incarnation}'
--- /dev/null
+++ b/libs/entry/toucanlead_entry/releaser.py
@@ -0,0 +1,101 @@
+"""Releaser: frees engine memory of ended programs until each replica acknowledges."""
+
+import structlog
+
+from toucanlead_core.errors import Fenced, PeerError, Refusal, RetryReason, Step
+from toucanlead_core.ids import rendezvous, slot_of_program
+from toucanlead_peer.messages import ForwardReq, Operation, Result
+from toucanlead_policy.retry import backoff_s
+from toucanlead_state.ledger import Program
+from toucanlead_state.records import Released
+
+from .context import Context
+from .owner import Owner
+from .slots import SlotKeeper
+
+log = structlog.get_logger()
+
+
+class Releaser:
+    """Sends releases, and sweeps what engines hold against programs alive."""
+
+    def __init__(self, ctx: Context, keeper: SlotKeeper) -> None:
+        """Take the slots, by which the owner of a held program is found."""
+        self._ctx = ctx
+        self._keeper = keeper
+        self._running: set[str] = set()
+
+    def release(self, owner: Owner, program: Program) -> None:
+        """Begin to free an ended program's memory."""
+        if program.program_id in self._running:
+            return
+        self._running.add(program.program_id)
+        self._ctx.tasks.spawn(self._release(owner, program), f'release {program.program_id}')
+
+    def resume(self, owner: Owner) -> None:
+        """Go on with releases of programs that were taken over."""
+        for program in list(owner.ledger.programs.values()):
+            if program.ended and program.replicas:
+                self.release(owner, program)
+
+    async def sweep(self) -> None:
+        """Release what engines of this entry's share hold for programs not alive."""
+        members = sorted(self._keeper.view.members)
+        entry = self._ctx.identity.entry
+        for name in list(self._ctx.backends.engines):
+            if rendezvous(name, members)[:1] != [entry]:
+                continue
+            try:
+                await self._sweep_replica(name)
+            except PeerError as exc:
+                log.info('sweep_failed', replica=name, error=str(exc))
+
+    async def _sweep_replica(self, name: str) -> None:
+        engine = self._ctx.backends.engines[name]
+        for program_id in await engine.held():
+            if await self._is_alive(program_id) is False:
+                await engine.release(program_id)
+                log.info('stray_memory_released', replica=name, program=program_id)
+
+    async def _is_alive(self, program_id: str) -> bool | None:
+        """Ask the owner; None when that cannot be told now."""
+        slot = slot_of_program(program_id, self._ctx.identity.slots)
+        if slot is None:
+            return False
+        record = self._keeper.owner_of(slot)
+        address = self._keeper.view.address_of(record.holder) if record else None
+        if address is None:
+            return None
+        req = ForwardReq(Operation.ALIVE, '', program_id)
+        try:
+            async for frame in self._ctx.peers.forward(address, req):
+                if isinstance(frame, Result):
+                    return frame.body == b'true'
+        except (PeerError, Refusal):
+            return None
+        return None
+
+    async def _release(self, owner: Owner, program: Program) -> None:
+        program_id = program.program_id
+        try:
+            touched = owner.models.touched.pop(program_id, set())
+            for name in sorted(program.replicas | touched):
+                await self._release_at(owner, program_id, name)
+            self._ctx.beliefs.forget(program_id)
+            await self._ctx.reached(Step.RELEASE, program_id, 0)
+        except Fenced:
+            log.info('release_left_to_new_owner', program=program_id)
+        finally:
+            self._running.discard(program_id)
+
+    async def _release_at(self, owner: Owner, program_id: str, name: str) -> None:
+        attempt = 0
+        while name in self._ctx.backends.engines:
+            try:
+                await self._ctx.backends.engines[name].release(program_id)
+                break
+            except PeerError:
+                attempt += 1
+                self._ctx.metrics.retried(RetryReason.RELEASE_FAILED)
+            await self._ctx.timers.sleep(0.2 + backoff_s(attempt, self._ctx.rng))
+        await owner.journal.append([Released(program_id, name)])
--- /dev/null
+++ b/libs/entry/toucanlead_entry/settings.py
@@ -0,0 +1,174 @@
+"""Settings of an entry, read from TOML; every error at once, each by name."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from attrs import field, frozen
+
+from toucanlead_core.codec import structure
+from toucanlead_policy.preset import Preset
+
+MAX_SLOTS = 65_536
+
+
+class SettingsError(Exception):
+    """All errors found in one settings file."""
+
+    def __init__(self, source: str, errors: list[str]) -> None:
+        """Keep the file's name and each error's text."""
+        super().__init__('\n'.join(f'{source}: {error}' for error in errors))
+        self.source = source
+        self.errors = errors
+
+
+@frozen
+class EntrySection:
+    """Where this entry runs; host is an IP number, port 0 takes a free one."""
+
+    name: str
+    zone: str
+    region: str
+    host: str = '127.0.0.1'
+    port: int = 8080
+    peer_port: int = 8081
+    admin_port: int = 8082
+    slots: int = 64
+    data_folder: str = ''
+
+
+@frozen
+class PlatformSection:
+    """Addresses of the platform's services, as host:port."""
+
+    key_value: str
+    vm_list: str = ''
+
+
+@frozen
+class ReplicaSection:
+    """One replica of a model engine."""
+
+    name: str
+    address: str
+    model: str
+    zone: str
+    region: str
+    slots: int = 8
+    prefill_tokens_per_s: float = 8000.0
+    decode_token_s: float = 0.03
+
+
+@frozen
+class ServiceSection:
+    """One tool service or application."""
+
+    name: str
+    address: str
+
+
+@frozen
+class ToolSection:
+    """One tool: its service, whether it may be repeated, its price in tokens."""
+
+    name: str
+    service: str
+    repeatable: bool
+    price: int = 1
+    deadline_s: float = 30.0
+
+
+@frozen
+class TeamSection:
+    """One team and the SHA-256 digests of its API keys, in hexadecimal."""
+
+    name: str
+    key_digests: list[str]
+
+
+@frozen
+class LimitsSection:
+    """Bounds on requests, in bytes and seconds."""
+
+    body_bytes: int = 524_288
+    header_bytes: int = 16_384
+    read_timeout_s: float = 30.0
+
+
+@frozen
+class Settings:
+    """The whole file."""
+
+    entry: EntrySection
+    platform: PlatformSection
+    replicas: list[ReplicaSection] = field(factory=list)
+    services: list[ServiceSection] = field(factory=list)
+    tools: list[ToolSection] = field(factory=list)
+    teams: list[TeamSection] = field(factory=list)
+    limits: LimitsSection = field(factory=LimitsSection)
+    preset: Preset = field(factory=Preset)
+    admin_key_digests: list[str] = field(factory=list)
+
+
+def load_settings(path: Path) -> Settings:
+    """Read a settings file; raise SettingsError naming every error."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as exc:
+        raise SettingsError(str(path), [exc.strerror or str(exc)]) from None
+    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str) -> Settings:
+    """Parse settings; raise SettingsError naming every error."""
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as exc:
+        raise SettingsError(source, [f'not TOML: {exc}']) from None
+    try:
+        settings = structure(raw, Settings)
+    except ValueError as exc:
+        raise SettingsError(source, _readable(str(exc), raw)) from None
+    errors = _cross_errors(settings)
+    if errors:
+        raise SettingsError(source, errors)
+    return settings
+
+
+def _readable(text: str, raw: dict[str, Any]) -> list[str]:
+    """Name each wrong value by its key, as in `entry.port`."""
+    errors = []
+    for part in text.split('; '):
+        what, _, where = part.rpartition(' @ ')
+        key = where.removeprefix('$').removeprefix('.')
+        errors.append(f'{key or "top level"}: {what or part}')
+    return errors
+
+
+def _cross_errors(settings: Settings) -> list[str]:
+    errors = []
+    if not 1 <= settings.entry.slots <= MAX_SLOTS:
+        errors.append(f'entry.slots: {settings.entry.slots}, expected 1 to {MAX_SLOTS}')
+    for key in ('port', 'peer_port', 'admin_port'):
+        value = getattr(settings.entry, key)
+        if not 0 <= value <= 65_535:
+            errors.append(f'entry.{key}: {value}, expected 0 to 65535')
+    services = {service.name for service in settings.services}
+    for index, tool in enumerate(settings.tools):
+        if tool.service not in services:
+            errors.append(
+                f'tools[{index}].service: {tool.service!r}, expected one of {sorted(services)}'
+            )
+    for kind in ('replicas', 'services', 'tools', 'teams'):
+        errors.extend(_repeated(kind, [item.name for item in getattr(settings, kind)]))
+    return errors
+
+
+def _repeated(kind: str, names: list[str]) -> list[str]:
+    seen: set[str] = set()
+    errors = []
+    for index, name in enumerate(names):
+        if name in seen:
+            errors.append(f'{kind}[{index}].name: {name!r} stands twice')
+        seen.add(name)
+    return errors
--- /dev/null
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -0,0 +1,320 @@
+"""Slots: registering, claiming, taking over from dead entries, handing over."""
+
+import asyncio
+
+import structlog
+from attrs import define, evolve
+
+from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.errors import NotSent, OutcomeUnknown, PeerError
+from toucanlead_core.ids import rendezvous
+from toucanlead_platform.kv import KvEntry, Put
+from toucanlead_state.ledger import Ledger
+from toucanlead_state.records import Segment
+
+from .checkpoints import load_slot, replay
+from .context import Context
+from .journal import read_journal
+from .owner import Owner
+from .records import (
+    MEMBERS,
+    SLOTS,
+    IncarnationRecord,
+    MemberRecord,
+    SlotRecord,
+    holder_name,
+    incarnation_key,
+    member_key,
+    slot_key,
+)
+
+log = structlog.get_logger()
+
+TAKEOVER_SPREAD = 8  # entries among which a dead entry's slots are spread
+CLAIMS_PER_ROUND = 64
+
+
+@define
+class View:
+    """What the service last said of members and slots."""
+
+    members: dict[str, MemberRecord]
+    slots: dict[int, tuple[SlotRecord, int]]
+    read_at: float
+
+    def address_of(self, holder: str) -> str | None:
+        """Return the peer address of a live holder."""
+        for member in self.members.values():
+            if member.holder == holder:
+                return member.peer_address
+        return None
+
+
+class SlotKeeper:
+    """Keeps this entry registered and its slots claimed."""
+
+    def __init__(self, ctx: Context) -> None:
+        """Start unregistered."""
+        self._ctx = ctx
+        self.view = View({}, {}, -1e9)
+        self.owner: Owner | None = None
+        self.owned: set[int] = set()
+        self.leaving = False
+        self._lease = 0
+        self._member_rev = 0
+        self._unseen_since: dict[str, float] = {}
+        self.sealed: set[str] = set()
+        self.on_new_owner = lambda owner: None
+        self.on_slot = lambda owner, staged: None
+
+    async def register(self) -> None:
+        """Begin a new incarnation; retries until the service answers."""
+        while True:
+            try:
+                await self._register_once()
+                return
+            except PeerError as exc:
+                log.info('register_retried', error=str(exc))
+                await self._ctx.timers.sleep(0.3)
+
+    async def renew(self) -> None:
+        """Keep the lease; take a new one when it has lapsed."""
+        if self.owner is None or self.leaving:
+            return
+        if await self._ctx.store.keep_alive(self._lease):
+            return
+        log.warning('lease_lapsed', holder=self.owner.holder)
+        await self._announce(self.owner.holder)
+
+    async def reconcile(self) -> None:
+        """Read members and slots; claim what is free, take over from the dead."""
+        await self.refresh()
+        if self.owner is None or self.leaving:
+            return
+        self.owner.journal.members = max(1, len(self.view.members))
+        self._forget_lost()
+        await self._take_handed()
+        await self._claim_free()
+        await self._take_over_dead()
+
+    async def refresh(self) -> None:
+        """Read members and slots again."""
+        members = await self._ctx.store.scan(MEMBERS)
+        slots = await self._ctx.store.scan(SLOTS)
+        self.view = View(
+            {m.entry: m for m in (from_json(e.value, MemberRecord) for e in members)},
+            {record.slot: (record, rev) for record, rev in map(_slot_of, slots)},
+            self._ctx.timers.now(),
+        )
+
+    def candidates(self) -> list[str]:
+        """Return the entries that should own slots.
+
+        Whole prompts cross from the owner to the engine and only deltas from
+        the caller to the owner, so owners sit in the replicas' regions.
+        """
+        regions = {replica.region for replica in self._ctx.fleet.replicas.values()}
+        members = self.view.members.values()
+        near = sorted(m.entry for m in members if m.region in regions)
+        return near or sorted(self.view.members)
+
+    def owner_of(self, slot: int) -> SlotRecord | None:
+        """Return the slot's record as last read."""
+        found = self.view.slots.get(slot)
+        return found[0] if found else None
+
+    async def resign(self) -> None:
+        """Give up the member key so that nobody waits for the lease."""
+        self.leaving = True
+        if self._lease:
+            await self._ctx.store.revoke(self._lease)
+
+    async def _register_once(self) -> None:
+        ctx = self._ctx
+        entry = ctx.identity.entry
+        taken = await ctx.store.scan(f'incarnations/{entry}.')
+        numbers = [int(e.key.rpartition('.')[2]) for e in taken]
+        holder = holder_name(entry, max(numbers, default=0) + 1)
+        record = IncarnationRecord(holder, '', ctx.nonce())
+        put = Put(incarnation_key(holder), to_json(record))
+        deadline = ctx.timers.now() + 5.0
+        if not await ctx.writer.write(put, 0, deadline=deadline):
+            raise NotSent('incarnation taken', step='register')
+        written = await ctx.store.get(put.key)
+        await self._announce(holder)
+        self.owned.clear()
+        self.sealed.clear()
+        self.owner = Owner(ctx, holder, written.mod_rev)
+        self.owner.start()
+        self.on_new_owner(self.owner)
+        log.info('registered', holder=holder)
+
+    async def _announce(self, holder: str) -> None:
+        ctx = self._ctx
+        identity = ctx.identity
+        self._lease = await ctx.store.grant_lease(ctx.pacing.lease_ttl_s)
+        record = MemberRecord(
+            identity.entry,
+            holder,
+            identity.peer_address,
+            identity.zone,
+            identity.region,
+            ctx.nonce(),
+        )
+        await ctx.store.txn([], [Put(member_key(identity.entry), to_json(record), self._lease)])
+
+    async def _claim_free(self) -> None:
+        members = self.candidates()
+        entry = self._ctx.identity.entry
+        free = [
+            slot
+            for slot in range(self._ctx.identity.slots)
+            if slot not in self.view.slots and rendezvous(f'slot{slot}', members)[:1] == [entry]
+        ]
+        for slot in free[:CLAIMS_PER_ROUND]:
+            await self._claim(slot, None, 0, [], Ledger())
+
+    async def _claim(
+        self, slot: int, old: SlotRecord | None, mod_rev: int, lineage: list[str], staged: Ledger
+    ) -> bool:
+        """Write the slot record; its lineage names journals not yet checkpointed."""
+        owner = self.owner
+        epoch = old.epoch + 1 if old else 1
+        record = SlotRecord(slot, owner.holder, epoch, self._ctx.nonce(), [*lineage, owner.holder])
+        put = Put(slot_key(slot), to_json(record))
+        claimed = await self._ctx.writer.write(put, mod_rev, [owner.journal.guard])
+        if claimed:
+            self._own(slot, record, staged)
+        return claimed
+
+    async def hand_over(self, slot: int, heir: MemberRecord) -> bool:
+        """Write a saved slot over to another entry; it loads from checkpoints."""
+        entry = await self._ctx.store.get(slot_key(slot))
+        old, mod_rev = _slot_of(entry)
+        if old.holder != self.owner.holder:
+            return False
+        record = SlotRecord(slot, heir.holder, old.epoch + 1, self._ctx.nonce(), [heir.holder])
+        put = Put(slot_key(slot), to_json(record))
+        done = await self._ctx.writer.write(put, mod_rev, [self.owner.journal.guard])
+        self.owned.discard(slot)
+        self.view.slots[slot] = (record, 0)
+        return done
+
+    async def shorten_lineages(self) -> None:
+        """Drop others' journals from slots whose programs are all saved."""
+        for slot in sorted(self.owned):
+            record, _ = self.view.slots[slot]
+            if len(record.lineage) < 2:
+                continue
+            entry = await self._ctx.store.get(slot_key(slot))
+            old, mod_rev = _slot_of(entry)
+            if old.holder != self.owner.holder:
+                continue
+            short = evolve(old, lineage=[self.owner.holder], nonce=self._ctx.nonce())
+            put = Put(slot_key(slot), to_json(short))
+            if await self._ctx.writer.write(put, mod_rev, [self.owner.journal.guard]):
+                self.view.slots[slot] = (short, 0)
+
+    def unreferenced(self) -> list[str]:
+        """Return sealed holders that no slot's lineage names any more."""
+        named = {h for record, _ in self.view.slots.values() for h in record.lineage}
+        return sorted(self.sealed - named)
+
+    async def _take_over_dead(self) -> None:
+        for holder, slots in sorted(self._dead_slots().items()):
+            takers = rendezvous(holder, self.candidates())[:TAKEOVER_SPREAD]
+            entry = self._ctx.identity.entry
+            if entry not in takers:
+                continue
+            mine = [s for s in slots if rendezvous(f'slot{s}', takers)[0] == entry]
+            if not mine:
+                continue
+            if takers[0] != entry:
+                rank = takers.index(entry)
+                await self._ctx.timers.sleep(rank * self._ctx.pacing.seal_stagger_s)
+            if await self._seal(holder):
+                self.sealed.add(holder)
+                await self._load_and_claim(mine)
+
+    def _dead_slots(self) -> dict[str, list[int]]:
+        """Return slots whose holder has had no member key for a lease period."""
+        now = self._ctx.timers.now()
+        live = {member.holder for member in self.view.members.values()}
+        dead: dict[str, list[int]] = {}
+        holders = {record.holder for record, _ in self.view.slots.values()}
+        for holder in holders - live:
+            self._unseen_since.setdefault(holder, now)
+        for holder in list(self._unseen_since):
+            if holder in live or holder not in holders:
+                del self._unseen_since[holder]
+        for slot, (record, _) in self.view.slots.items():
+            if record.holder in self._unseen_since:
+                dead.setdefault(record.holder, []).append(slot)
+        return dead
+
+    async def _seal(self, holder: str) -> bool:
+        """Close an incarnation: from here on none of its appends can succeed."""
+        key = incarnation_key(holder)
+        entry: KvEntry | None = await self._ctx.store.get(key)
+        if entry is None:
+            return True
+        record = from_json(entry.value, IncarnationRecord)
+        if record.sealed_by:
+            return True
+        sealed = evolve(record, sealed_by=self.owner.holder, nonce=self._ctx.nonce())
+        put = Put(key, to_json(sealed))
+        done = await self._ctx.writer.write(put, entry.mod_rev, [self.owner.journal.guard])
+        log.info('journal_sealed', holder=holder, by=self.owner.holder, done=done)
+        return done or await self._seal(holder)
+
+    async def _load_and_claim(self, slots: list[int]) -> None:
+        """Rebuild programs from checkpoints and sealed journals, then take the slots."""
+        journals: dict[str, list[Segment]] = {}
+        for slot in slots:
+            entry = await self._ctx.store.get(slot_key(slot))
+            old, mod_rev = _slot_of(entry)
+            if old.holder in {m.holder for m in self.view.members.values()}:
+                continue
+            for holder in old.lineage:
+                if holder not in journals:
+                    journals[holder] = await read_journal(self._ctx, holder)
+            staged = await load_slot(self._ctx, slot)
+            replay(self._ctx, slot, staged, old.lineage, journals)
+            if await self._claim(slot, old, mod_rev, old.lineage, staged):
+                self._ctx.metrics.takeovers.labels('dead').inc()
+
+    async def _take_handed(self) -> None:
+        """Load slots that a leaving entry has written over to this one."""
+        for slot, (record, _) in self.view.slots.items():
+            if record.holder == self.owner.holder and slot not in self.owned:
+                staged = await load_slot(self._ctx, slot)
+                self._own(slot, record, staged)
+                self._ctx.metrics.takeovers.labels('handed').inc()
+
+    def _own(self, slot: int, record: SlotRecord, staged: Ledger) -> None:
+        self.owned.add(slot)
+        self._ctx.metrics.slots_owned.set(len(self.owned))
+        self.view.slots[slot] = (record, 0)
+        self.on_slot(self.owner, staged)
+        log.info('slot_owned', slot=slot, epoch=record.epoch, programs=len(staged.programs))
+
+    def _forget_lost(self) -> None:
+        """Notice slots that the service says belong to another holder."""
+        for slot in list(self.owned):
+            record = self.owner_of(slot)
+            if record is not None and record.holder != self.owner.holder:
+                self.owned.discard(slot)
+
+
+def _slot_of(entry: KvEntry) -> tuple[SlotRecord, int]:
+    return from_json(entry.value, SlotRecord), entry.mod_rev
+
+
+async def tolerate(work, what: str) -> None:
+    """Run a step of upkeep; the service being away is logged, not raised."""
+    try:
+        await work
+    except (NotSent, OutcomeUnknown) as exc:
+        log.info('upkeep_failed', what=what, error=str(exc))
+    except asyncio.CancelledError:
+        raise
--- /dev/null
+++ b/libs/entry/toucanlead_entry/tails.py
@@ -0,0 +1,152 @@
+"""Tails: outcomes not yet durable in the service, copied to peers meanwhile.
+
+While the service cannot be reached, an outcome is answered once at least one
+peer keeps a copy. A copy is dropped when its writer says that the outcome is
+durable, or when the program's new owner has taken it. This resembles the
+hinted handoff of DeCandia et al., "Dynamo: Amazon's Highly Available
+Key-value Store", SOSP 2007, section 4.6; docs/design/cut-off.md gives the
+measurement that keeps it.
+"""
+
+import asyncio
+
+import structlog
+
+from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.errors import PeerError, Reason, Refusal, Step
+from toucanlead_core.ids import slot_of_program
+from toucanlead_peer.messages import TailPiece
+from toucanlead_state.records import Adopted, Branched, Finished, Record, Segment
+
+from .context import Context
+from .owner import Owner
+from .slots import SlotKeeper
+
+log = structlog.get_logger()
+
+COPIES = 2
+KEPT_LIMIT_BYTES = 16_000_000
+
+
+class TailKeeper:
+    """Copies this entry's tail to peers, and keeps and delivers theirs."""
+
+    def __init__(self, ctx: Context, keeper: SlotKeeper) -> None:
+        """Start with nothing kept."""
+        self._ctx = ctx
+        self._keeper = keeper
+        self._kept: dict[tuple[str, int], TailPiece] = {}
+        self._kept_bytes = 0
+        self._numbers = 0
+
+    @property
+    def kept(self) -> int:
+        """Return how many pieces wait here for delivery."""
+        return len(self._kept)
+
+    async def copy(self, owner: Owner, finished: Finished, future: asyncio.Future) -> bool:
+        """Copy an outcome to peers; False when no peer took it."""
+        self._numbers += 1
+        segment = Segment(self._ctx.nonce(), owner.holder, self._numbers, [finished])
+        piece = TailPiece(owner.holder, self._numbers, to_json(segment))
+        taken = []
+        for address in self._copy_targets():
+            if len(taken) == COPIES:
+                break
+            if await self._send(address, piece):
+                taken.append(address)
+        if taken:
+            self._ctx.tasks.spawn(self._drop_later(piece, taken, future), 'tail drop')
+        return bool(taken)
+
+    def keep(self, piece: TailPiece) -> None:
+        """Keep a peer's piece; an empty segment says that it is durable now."""
+        key = (piece.holder, piece.index)
+        if not piece.segment:
+            old = self._kept.pop(key, None)
+            self._kept_bytes -= len(old.segment) if old else 0
+            return
+        if self._kept_bytes + len(piece.segment) > KEPT_LIMIT_BYTES:
+            raise Refusal(Reason.OVERLOAD, 'no room for more tails')
+        self._kept[key] = piece
+        self._kept_bytes += len(piece.segment)
+
+    def keep_lost(self, holder: str, records: list[Record]) -> None:
+        """Keep this entry's own records that a takeover cut off."""
+        for record in records:
+            if isinstance(record, Finished):
+                self._numbers += 1
+                segment = Segment(self._ctx.nonce(), holder, self._numbers, [record])
+                self.keep(TailPiece(holder, self._numbers, to_json(segment)))
+
+    async def sweep(self) -> None:
+        """Deliver kept pieces whose programs have a new owner, in order."""
+        for key in sorted(self._kept):
+            piece = self._kept.get(key)
+            if piece is not None:
+                await self._deliver(piece)
+
+    async def take(self, owner: Owner, piece: TailPiece) -> None:
+        """Append a delivered outcome, or keep it beside the history."""
+        segment = from_json(piece.segment, Segment)
+        for record in segment.records:
+            if isinstance(record, Finished):
+                await self._take(owner, piece.holder, record)
+
+    async def _take(self, owner: Owner, holder: str, finished: Finished) -> None:
+        program = owner.ledger.programs.get(finished.program_id)
+        if program is None:
+            return
+        if finished.seq > program.next_seq or owner.busy({program.program_id}):
+            raise Refusal(Reason.IN_PROGRESS, 'an earlier piece comes first')
+        if finished.seq == program.next_seq:
+            record = Adopted(program.program_id, holder, finished)
+        elif any(_same(known, finished) for known in [*program.turns, *program.branches]):
+            return
+        else:
+            record = Branched(program.program_id, holder, finished)
+        await owner.journal.append([record])
+        log.info('tail_taken', program=program.program_id, seq=finished.seq, holder=holder)
+
+    async def _deliver(self, piece: TailPiece) -> None:
+        segment = from_json(piece.segment, Segment)
+        slot = slot_of_program(segment.records[0].program_id, self._ctx.identity.slots)
+        record = self._keeper.owner_of(slot)
+        if record is None or record.holder == piece.holder:
+            return
+        address = self._keeper.view.address_of(record.holder)
+        if address is None:
+            return
+        try:
+            await self._ctx.peers.deliver_tail(address, piece)
+        except (PeerError, Refusal) as exc:
+            log.info('tail_delivery_retried', peer=address, error=str(exc))
+            return
+        self.keep(TailPiece(piece.holder, piece.index, b''))
+
+    def _copy_targets(self) -> list[str]:
+        identity = self._ctx.identity
+        others = [m for m in self._keeper.view.members.values() if m.entry != identity.entry]
+        others.sort(key=lambda m: (m.zone != identity.zone, m.region != identity.region, m.entry))
+        return [member.peer_address for member in others]
+
+    async def _send(self, address: str, piece: TailPiece) -> bool:
+        try:
+            await self._ctx.peers.keep_tail(address, piece)
+        except (PeerError, Refusal) as exc:
+            log.info('tail_copy_failed', peer=address, step=Step.RECORD.value, error=str(exc))
+            return False
+        return True
+
+    async def _drop_later(
+        self, piece: TailPiece, addresses: list[str], future: asyncio.Future
+    ) -> None:
+        await asyncio.wait([future])
+        if future.exception() is not None:
+            return
+        for address in addresses:
+            await self._send(address, TailPiece(piece.holder, piece.index, b''))
+
+
+def _same(one: Finished, other: Finished) -> bool:
+    return one.digest == other.digest and one.answer.content == other.answer.content
--- /dev/null
+++ b/libs/peer/toucanlead_peer/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries, their transport over grpclib, and membership probes."""
--- /dev/null
+++ b/libs/peer/toucanlead_peer/grpc_transport.py
@@ -0,0 +1,220 @@
+"""Peer transport over grpclib: one channel per peer, replaced when it fails."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.server import Server, Stream
+
+from toucanlead_core.errors import (
+    NotSent,
+    OutcomeUnknown,
+    Ran,
+    Reason,
+    Refusal,
+    Step,
+)
+from toucanlead_core.messages import Chunk
+
+from . import peer_grpc, peer_pb2
+from .messages import (
+    ForwardReq,
+    Frame,
+    MemberNews,
+    Operation,
+    ProbeReply,
+    ProbeReq,
+    RefusalInfo,
+    Result,
+    TailPiece,
+)
+from .transport import PeerHandler, PeerTransport
+
+CONNECT_TIMEOUT_S = 1.0
+PROBE_TIMEOUT_S = 1.0
+TAIL_TIMEOUT_S = 2.0
+KEEPALIVE_S = 10.0
+KEEPALIVE_TIMEOUT_S = 3.0
+
+_ERRORS = (GRPCError, StreamTerminatedError, ConnectionError, OSError, asyncio.TimeoutError)
+
+
+class GrpcTransport(PeerTransport):
+    """Calls other entries by IP and port."""
+
+    def __init__(self, resolve: Callable[[str], str] = str) -> None:
+        """Take a mapping of addresses, for networks that translate them."""
+        self._resolve = resolve
+        self._channels: dict[str, Channel] = {}
+        self._config = Configuration(
+            _keepalive_time=KEEPALIVE_S, _keepalive_timeout=KEEPALIVE_TIMEOUT_S
+        )
+
+    async def forward(self, address: str, req: ForwardReq) -> AsyncIterator[Frame]:
+        """Stream the owner's frames."""
+        stub = peer_grpc.PeerStub(await self._connected(address))
+        message = peer_pb2.ForwardRequest(
+            operation=req.operation.value,
+            team=req.team,
+            program_id=req.program_id,
+            seq=req.seq,
+            body=req.body,
+            from_offset=req.from_offset,
+        )
+        try:
+            async with stub.Forward.open() as stream:
+                await stream.send_message(message, end=True)
+                async for frame in stream:
+                    yield _frame_from(frame)
+        except _ERRORS as exc:
+            self._drop(address)
+            raise OutcomeUnknown(repr(exc), step='forward', peer=address) from exc
+
+    async def probe(self, address: str, req: ProbeReq) -> ProbeReply:
+        """Probe an entry."""
+        stub = peer_grpc.PeerStub(await self._connected(address))
+        message = _probe_to(req)
+        try:
+            return _probe_from(await stub.Probe(message, timeout=PROBE_TIMEOUT_S), ProbeReply)
+        except _ERRORS as exc:
+            self._drop(address)
+            raise OutcomeUnknown(repr(exc), step='probe', peer=address) from exc
+
+    async def keep_tail(self, address: str, piece: TailPiece) -> None:
+        """Copy a segment."""
+        stub = peer_grpc.PeerStub(await self._connected(address))
+        await self._send_tail(address, stub.KeepTail, piece)
+
+    async def deliver_tail(self, address: str, piece: TailPiece) -> None:
+        """Hand a segment over."""
+        stub = peer_grpc.PeerStub(await self._connected(address))
+        await self._send_tail(address, stub.DeliverTail, piece)
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def _send_tail(self, address: str, method, piece: TailPiece) -> None:
+        message = peer_pb2.TailPiece(holder=piece.holder, index=piece.index, segment=piece.segment)
+        try:
+            await method(message, timeout=TAIL_TIMEOUT_S)
+        except _ERRORS as exc:
+            self._drop(address)
+            raise OutcomeUnknown(repr(exc), step='tail', peer=address) from exc
+
+    async def _connected(self, address: str) -> Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = self._resolve(address).rpartition(':')
+            channel = Channel(host, int(port), config=self._config)
+            self._channels[address] = channel
+        try:
+            await asyncio.wait_for(channel.__connect__(), CONNECT_TIMEOUT_S)
+        except (OSError, asyncio.TimeoutError) as exc:
+            self._drop(address)
+            raise NotSent(repr(exc), step='connect', peer=address) from exc
+        return channel
+
+    def _drop(self, address: str) -> None:
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+
+class _Servicer(peer_grpc.PeerBase):
+    def __init__(self, handler: PeerHandler) -> None:
+        self._handler = handler
+
+    async def Forward(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        req = ForwardReq(
+            Operation(message.operation),
+            message.team,
+            message.program_id,
+            message.seq,
+            message.body,
+            message.from_offset,
+        )
+        try:
+            async for frame in self._handler.forward(req):
+                await stream.send_message(_frame_to(frame))
+        except Refusal as refusal:
+            await stream.send_message(_refusal_to(RefusalInfo.of(refusal)))
+
+    async def Probe(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        req = _probe_from(await stream.recv_message(), ProbeReq)
+        await stream.send_message(_probe_to(await self._handler.probe(req)))
+
+    async def KeepTail(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        piece = TailPiece(message.holder, message.index, message.segment)
+        await self._handler.keep_tail(piece)
+        await stream.send_message(peer_pb2.Ack())
+
+    async def DeliverTail(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        piece = TailPiece(message.holder, message.index, message.segment)
+        await self._handler.deliver_tail(piece)
+        await stream.send_message(peer_pb2.Ack())
+
+
+def peer_server(handler: PeerHandler) -> Server:
+    """Return a grpclib server for a handler; the caller starts it."""
+    return Server([_Servicer(handler)])
+
+
+def _frame_to(frame: Frame) -> peer_pb2.ForwardFrame:
+    if isinstance(frame, Chunk):
+        chunk = peer_pb2.TokenChunk(offset=frame.offset, text=frame.text, tokens=frame.tokens)
+        return peer_pb2.ForwardFrame(chunk=chunk)
+    return peer_pb2.ForwardFrame(result=frame.body)
+
+
+def _refusal_to(info: RefusalInfo) -> peer_pb2.ForwardFrame:
+    message = peer_pb2.RefusalInfo(
+        reason=info.reason.value,
+        ran=info.ran.value,
+        step=info.step.value,
+        detail=info.detail,
+        peer=info.peer,
+        retry_after_ms=info.retry_after_ms,
+    )
+    return peer_pb2.ForwardFrame(refusal=message)
+
+
+def _frame_from(message: peer_pb2.ForwardFrame) -> Frame:
+    kind = message.WhichOneof('kind')
+    if kind == 'chunk':
+        return Chunk(message.chunk.offset, message.chunk.text, message.chunk.tokens)
+    if kind == 'result':
+        return Result(message.result)
+    info = message.refusal
+    raise RefusalInfo(
+        Reason(info.reason),
+        Ran(info.ran),
+        Step(info.step),
+        info.detail,
+        info.peer,
+        info.retry_after_ms,
+    ).to_refusal()
+
+
+def _probe_to(probe: ProbeReq | ProbeReply) -> peer_pb2.ProbeMessage:
+    news = [
+        peer_pb2.MemberNews(
+            entry=n.entry, incarnation=n.incarnation, state=n.state, revision=n.revision
+        )
+        for n in probe.news
+    ]
+    return peer_pb2.ProbeMessage(
+        sender=probe.sender, revision=probe.revision, news=news, leaving=probe.leaving
+    )
+
+
+def _probe_from(message: peer_pb2.ProbeMessage, kind):
+    news = [MemberNews(n.entry, n.incarnation, n.state, n.revision) for n in message.news]
+    return kind(message.sender, message.revision, news, list(message.leaving))
--- /dev/null
+++ b/libs/platform/toucanlead_platform/etcd.py
@@ -0,0 +1,140 @@
+"""Key-value service adapter: etcd v3's published JSON/HTTP API."""
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import orjson
+
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+
+from .kv import Compare, Delete, KeyValueStore, KvEntry, Put, TxnResult, WatchEvent
+
+REQUEST_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.5
+
+
+class EtcdStore(KeyValueStore):
+    """The service at one host:port."""
+
+    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+        """Take the shared client session and the service's host:port."""
+        self._session = session
+        self._address = address
+
+    async def get(self, key: str) -> KvEntry | None:
+        """Return an entry, or None."""
+        reply = await self._post('kv/range', {'key': _b64(key)})
+        kvs = reply.get('kvs') or []
+        return _entry(kvs[0]) if kvs else None
+
+    async def scan(self, prefix: str) -> list[KvEntry]:
+        """Return all entries under a prefix."""
+        body = {'key': _b64(prefix), 'range_end': _b64(prefix_end(prefix))}
+        reply = await self._post('kv/range', body)
+        return [_entry(kv) for kv in reply.get('kvs') or []]
+
+    async def txn(self, compares: list[Compare], ops: list[Put | Delete]) -> TxnResult:
+        """Run one transaction."""
+        body = {
+            'compare': [_compare(c) for c in compares],
+            'success': [_operation(op) for op in ops],
+        }
+        reply = await self._post('kv/txn', body)
+        revision = int(reply['header']['revision'])
+        return TxnResult(bool(reply.get('succeeded', False)), revision)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Create a lease."""
+        return int((await self._post('lease/grant', {'TTL': str(ttl_s)}))['ID'])
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease."""
+        reply = await self._post('lease/keepalive', {'ID': str(lease)})
+        return int((reply.get('result') or reply).get('TTL', 0)) > 0
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease."""
+        await self._post('lease/revoke', {'ID': str(lease)})
+
+    async def watch(self, prefix: str, from_rev: int) -> AsyncIterator[WatchEvent]:
+        """Stream changes; ends with an error when the connection breaks."""
+        body = {
+            'create_request': {
+                'key': _b64(prefix),
+                'range_end': _b64(prefix_end(prefix)),
+                'start_revision': str(from_rev),
+                'progress_notify': True,
+            }
+        }
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.post(
+                f'http://{self._address}/v3/watch', json=body, timeout=timeout
+            ) as resp:
+                async for line in resp.content:
+                    for event in orjson.loads(line).get('result', {}).get('events', []):
+                        yield _watch_event(event)
+        except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
+            raise OutcomeUnknown(repr(exc), step='watch', peer=self._address) from exc
+
+    async def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
+        url = f'http://{self._address}/v3/{path}'
+        try:
+            async with self._session.post(url, json=body, timeout=timeout) as resp:
+                data = await resp.read()
+                if resp.status != 200:
+                    raise OutcomeUnknown(f'status {resp.status}', step=path, peer=self._address)
+                return orjson.loads(data)
+        except aiohttp.ClientConnectorError as exc:
+            raise NotSent(str(exc), step=path, peer=self._address) from exc
+        except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as exc:
+            raise OutcomeUnknown(repr(exc), step=path, peer=self._address) from exc
+
+
+def prefix_end(prefix: str) -> str:
+    """Return the first key after all keys with a prefix."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+def _b64(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
+
+
+def _unb64(text: str) -> str:
+    return base64.b64decode(text).decode()
+
+
+def _entry(kv: dict[str, Any]) -> KvEntry:
+    return KvEntry(
+        key=_unb64(kv['key']),
+        value=base64.b64decode(kv.get('value', '')),
+        create_rev=int(kv['create_revision']),
+        mod_rev=int(kv['mod_revision']),
+    )
+
+
+def _compare(compare: Compare) -> dict[str, Any]:
+    return {
+        'key': _b64(compare.key),
+        'target': 'MOD',
+        'result': 'EQUAL',
+        'mod_revision': str(compare.mod_rev),
+    }
+
+
+def _operation(op: Put | Delete) -> dict[str, Any]:
+    if isinstance(op, Delete):
+        return {'request_delete_range': {'key': _b64(op.key)}}
+    value = base64.b64encode(op.value).decode()
+    return {'request_put': {'key': _b64(op.key), 'value': value, 'lease': str(op.lease)}}
+
+
+def _watch_event(event: dict[str, Any]) -> WatchEvent:
+    kv = event['kv']
+    deleted = event.get('type') == 'DELETE'
+    value = None if deleted else base64.b64decode(kv.get('value', ''))
+    return WatchEvent(_unb64(kv['key']), value, int(kv['mod_revision']))
--- /dev/null
+++ b/libs/policy/toucanlead_policy/beliefs.py
@@ -0,0 +1,68 @@
+"""Cache beliefs: which replica has how much of which program's prefix.
+
+What was routed where raises a belief, answers and late events correct it. A
+gap in a replica's events lowers its beliefs, since evictions may be missing.
+"""
+
+from collections import OrderedDict
+
+from attrs import define, field
+
+GAP_FACTOR = 0.5
+BELIEF_LIMIT = 50_000  # programs remembered, the least recent go first
+
+
+@define
+class CacheBeliefs:
+    """Believed cached tokens by program and replica."""
+
+    limit: int = BELIEF_LIMIT
+    _programs: OrderedDict[str, dict[str, float]] = field(factory=OrderedDict)
+    _trust: dict[str, float] = field(factory=dict)
+    _last_event: dict[str, int] = field(factory=dict)
+
+    def holders(self, program_id: str) -> dict[str, float]:
+        """Return believed cached tokens by replica."""
+        return self._programs.get(program_id, {})
+
+    def cached(self, program_id: str, replica: str) -> float:
+        """Return the cached tokens to expect, lowered after event gaps."""
+        tokens = self.holders(program_id).get(replica, 0.0)
+        return tokens * self._trust.get(replica, 1.0)
+
+    def answered(self, program_id: str, replica: str, prompt: int, output: int) -> None:
+        """Note that a replica has just worked on the whole history."""
+        known = self._programs.setdefault(program_id, {})
+        known[replica] = float(prompt + output)
+        self._programs.move_to_end(program_id)
+        while len(self._programs) > self.limit:
+            self._programs.popitem(last=False)
+
+    def measured(self, program_id: str, replica: str, expected: float, cached: int) -> None:
+        """Learn from an answer's cached-token count how far beliefs hold."""
+        if expected <= 0:
+            return
+        share = min(1.0, cached / expected)
+        old = self._trust.get(replica, 1.0)
+        self._trust[replica] = 0.8 * old + 0.2 * share
+
+    def event(self, replica: str, number: int, program_id: str, tokens: int) -> None:
+        """Apply a late cache event; a gap in the numbers lowers trust."""
+        last = self._last_event.get(replica)
+        if last is not None and number > last + 1:
+            self._trust[replica] = self._trust.get(replica, 1.0) * GAP_FACTOR
+        self._last_event[replica] = max(number, last or 0)
+        known = self._programs.get(program_id)
+        if known is not None and replica in known:
+            known[replica] = min(known[replica], float(tokens))
+
+    def forget(self, program_id: str) -> None:
+        """Drop an ended program."""
+        self._programs.pop(program_id, None)
+
+    def forget_replica(self, replica: str) -> None:
+        """Drop a replica that restarted."""
+        for known in self._programs.values():
+            known.pop(replica, None)
+        self._trust.pop(replica, None)
+        self._last_event.pop(replica, None)
--- /dev/null
+++ b/libs/policy/toucanlead_policy/fleet.py
@@ -0,0 +1,108 @@
+"""What an entry knows of each replica: capacity, load, errors, drains."""
+
+import math
+
+from attrs import define, field
+
+ERROR_HALF_LIFE_S = 20.0
+SERVICE_SMOOTHING = 0.1
+
+
+@define
+class ReplicaState:
+    """One replica of a model, as this entry sees it."""
+
+    name: str
+    model: str
+    zone: str
+    region: str
+    slots: int = 8
+    prefill_tokens_per_s: float = 8000.0
+    decode_token_s: float = 0.03
+    leaving: bool = False
+    own: int = 0
+    own_tokens: float = 0.0
+    reported: int = 0
+    own_at_report: int = 0
+    reported_at: float = -1e9
+    service_s: float = 2.0
+    _errors: float = 0.0
+    _errors_at: float = 0.0
+
+    def sent(self, tokens: float) -> None:
+        """Note a request on its way, with the tokens it is expected to prefill."""
+        self.own += 1
+        self.own_tokens += tokens
+
+    def done(self, tokens: float, service_s: float | None) -> None:
+        """Note its end, and how long the replica took."""
+        self.own -= 1
+        self.own_tokens -= tokens
+        if service_s is not None:
+            self.service_s += SERVICE_SMOOTHING * (service_s - self.service_s)
+
+    def report(self, running: int, waiting: int, taken_at: float) -> None:
+        """Apply a load report taken some time ago."""
+        self.reported = running + waiting
+        self.own_at_report = self.own
+        self.reported_at = taken_at
+
+    def failed(self, now: float) -> None:
+        """Note an error."""
+        self._errors = self.errors(now) + 1.0
+        self._errors_at = now
+
+    def errors(self, now: float) -> float:
+        """Return recent errors, halved every half-life."""
+        age_s = max(0.0, now - self._errors_at)
+        return self._errors * 0.5 ** (age_s / ERROR_HALF_LIFE_S)
+
+    def outstanding(self) -> int:
+        """Estimate all requests at the replica: its report and our own since."""
+        others = max(0, self.reported - self.own_at_report)
+        return others + self.own
+
+    def queue_s(self) -> float:
+        """Estimate the wait before a new request gets a slot."""
+        excess = self.outstanding() + 1 - self.slots
+        wait_s = max(0.0, excess) * self.service_s / self.slots
+        return wait_s + self.own_tokens / self.prefill_tokens_per_s
+
+    def report_age_s(self, now: float) -> float:
+        """Return the age of the load report, bounded for arithmetic."""
+        return min(60.0, now - self.reported_at)
+
+
+@define
+class Fleet:
+    """All replicas by model; picking candidates costs the same at any size."""
+
+    replicas: dict[str, ReplicaState] = field(factory=dict)
+    _by_model: dict[str, list[str]] = field(factory=dict)
+
+    def add(self, replica: ReplicaState) -> None:
+        """Add a replica."""
+        if replica.name not in self.replicas:
+            self._by_model.setdefault(replica.model, []).append(replica.name)
+        self.replicas[replica.name] = replica
+
+    def remove(self, name: str) -> None:
+        """Drop a replica."""
+        replica = self.replicas.pop(name, None)
+        if replica is not None:
+            self._by_model[replica.model].remove(name)
+
+    def models(self) -> list[str]:
+        """Return the models that have replicas."""
+        return sorted(model for model, names in self._by_model.items() if names)
+
+    def of_model(self, model: str) -> list[str]:
+        """Return the names of a model's replicas; not to be changed."""
+        return self._by_model.get(model, [])
+
+    def mean_queue_s(self, model: str, sample: int = 8) -> float:
+        """Return the mean estimated wait over some of a model's replicas."""
+        names = self.of_model(model)
+        step = max(1, math.ceil(len(names) / sample))
+        waits = [self.replicas[name].queue_s() for name in names[::step]]
+        return sum(waits) / len(waits) if waits else 0.0
--- /dev/null
+++ b/libs/policy/toucanlead_policy/preset.py
@@ -0,0 +1,45 @@
+"""Preset: the operators' weights and limits; exactly one is in force."""
+
+from attrs import field, frozen, validators
+
+_POSITIVE = validators.gt(0)
+_SHARE = validators.and_(validators.ge(0), validators.le(1))
+
+
+@frozen
+class Preset:
+    """All tunables of the decisions.
+
+    Weights are milliseconds of expected cost per millisecond of the named
+    part, so that 1.0 means its plain latency.
+    """
+
+    name: str = 'ordinary'
+    queue_weight: float = field(default=1.0, validator=validators.ge(0))
+    prefill_weight: float = field(default=1.0, validator=validators.ge(0))
+    link_weight: float = field(default=1.0, validator=validators.ge(0))
+    risk_weight: float = field(default=1.0, validator=validators.ge(0))
+    candidates: int = field(default=3, validator=_POSITIVE)
+    admit_queue_s: float = field(default=20.0, validator=_POSITIVE)
+    turn_queue_s: float = field(default=120.0, validator=_POSITIVE)
+    team_concurrency: int = field(default=64, validator=_POSITIVE)
+    team_tokens_per_s: float = field(default=20_000.0, validator=_POSITIVE)
+    max_turns: int = field(default=260, validator=_POSITIVE)
+    repeat_limit: int = field(default=8, validator=_POSITIVE)
+    retry_share: float = field(default=0.1, validator=_SHARE)
+    attempts: int = field(default=3, validator=_POSITIVE)
+    progress_timeout_s: float = field(default=5.0, validator=_POSITIVE)
+    first_token_timeout_s: float = field(default=30.0, validator=_POSITIVE)
+    gap_wait_s: float = field(default=5.0, validator=_POSITIVE)
+    claim_wait_s: float = field(default=2.0, validator=_POSITIVE)
+    record_wait_s: float = field(default=2.0, validator=_POSITIVE)
+    grant_calls: int = field(default=4, validator=_POSITIVE)
+    aging_s: float = field(default=30.0, validator=_POSITIVE)
+    hold_pause_s: float = field(default=60.0, validator=validators.ge(0))
+
+
+ORDINARY = Preset()
+PEAK = Preset(
+    name='peak', admit_queue_s=8.0, turn_queue_s=60.0, retry_share=0.05, hold_pause_s=20.0
+)
+MAINTENANCE = Preset(name='maintenance', candidates=4, admit_queue_s=40.0, attempts=4)
--- /dev/null
+++ b/libs/policy/toucanlead_policy/retention.py
@@ -0,0 +1,59 @@
+"""Cache retention through a tool pause: keep, export or release."""
+
+from collections import deque
+from enum import Enum
+
+from attrs import define, field
+
+SAMPLES = 64  # pauses remembered per tool
+
+
+class Retention(str, Enum):
+    """What to do with a program's cache while it pauses."""
+
+    KEEP = 'keep'
+    EXPORT = 'export'
+    RELEASE = 'release'
+
+
+@define
+class PauseModel:
+    """Recent pause lengths by what the program waits for, in seconds."""
+
+    _pauses: dict[str, deque[float]] = field(factory=dict)
+
+    def observe(self, kind: str, pause_s: float) -> None:
+        """Note a pause that ended."""
+        self._pauses.setdefault(kind, deque(maxlen=SAMPLES)).append(pause_s)
+
+    def hold_s(self, kind: str, recompute_s: float, pressure: float) -> float:
+        """Return how long keeping the cache is worth its memory.
+
+        Holding costs pressure (0 to 1, the share of memory in demand) per
+        second, recomputing costs `recompute_s`. With samples, the best hold
+        time over them; without, the ski-rental bound: hold until the cost of
+        holding equals the cost of recomputing.
+        """
+        price = max(pressure, 1e-3)
+        bound_s = recompute_s / price
+        samples = self._pauses.get(kind)
+        if not samples or len(samples) < 8:
+            return bound_s
+        options = [0.0, *sorted(samples), bound_s]
+        return min(options, key=lambda h: _mean_cost(samples, h, recompute_s, price))
+
+
+def _mean_cost(samples: deque[float], hold_s: float, recompute_s: float, price: float) -> float:
+    total = 0.0
+    for pause_s in samples:
+        total += price * min(pause_s, hold_s)
+        total += recompute_s if pause_s > hold_s else 0.0
+    return total / len(samples)
+
+
+def decide(pause_s: float, recompute_s: float, export_s: float, pressure: float) -> Retention:
+    """Return the cheapest for a predicted pause; all costs in engine seconds."""
+    keep = pressure * pause_s
+    if keep <= min(recompute_s, export_s):
+        return Retention.KEEP
+    return Retention.EXPORT if export_s < recompute_s else Retention.RELEASE
--- /dev/null
+++ b/libs/policy/toucanlead_policy/routing.py
@@ -0,0 +1,153 @@
+"""Routing: which replica takes a program's next turn."""
+
+import abc
+import random
+
+from attrs import define, field, frozen
+
+from .beliefs import CacheBeliefs
+from .fleet import Fleet, ReplicaState
+from .preset import Preset
+
+LINK_LATENCY_MS = 40.0  # a round trip between regions
+STALE_MS_PER_S = 2.0
+ERROR_MS = 400.0
+
+
+@frozen
+class Turn:
+    """What is known of a turn before it runs; sizes in tokens and bytes."""
+
+    program_id: str
+    model: str
+    region: str
+    prompt_tokens: int
+    prompt_bytes: int
+    max_tokens: int = 256
+
+
+@frozen
+class Choice:
+    """A routing decision and the cached tokens it counts on."""
+
+    replica: str
+    cost_ms: float
+    cached_tokens: float
+
+
+class Router(abc.ABC):
+    """Chooses a replica for a turn."""
+
+    @abc.abstractmethod
+    def choose(
+        self, turn: Turn, fleet: Fleet, now: float, avoid: frozenset[str] = frozenset()
+    ) -> Choice | None:
+        """Return the replica to use, None when there is none."""
+
+
+@define
+class ExpectedCostRouter(Router):
+    """Least expected cost among believed holders and a few random replicas."""
+
+    preset: Preset
+    beliefs: CacheBeliefs
+    rng: random.Random
+    link_bytes_per_s: float = 15e6 / 8
+
+    def choose(
+        self, turn: Turn, fleet: Fleet, now: float, avoid: frozenset[str] = frozenset()
+    ) -> Choice | None:
+        """Weigh queue, prefill, link and risk for each candidate."""
+        best: Choice | None = None
+        for replica in self._candidates(turn, fleet, avoid):
+            cached = min(turn.prompt_tokens, self.beliefs.cached(turn.program_id, replica.name))
+            cost_ms = self.cost_ms(turn, replica, cached, now)
+            if best is None or cost_ms < best.cost_ms:
+                best = Choice(replica.name, cost_ms, cached)
+        return best
+
+    def cost_ms(self, turn: Turn, replica: ReplicaState, cached: float, now: float) -> float:
+        """Return the expected cost in milliseconds."""
+        preset = self.preset
+        queue_ms = 1e3 * replica.queue_s()
+        prefill_ms = 1e3 * (turn.prompt_tokens - cached) / replica.prefill_tokens_per_s
+        link_ms = 0.0
+        if replica.region != turn.region:
+            link_ms = LINK_LATENCY_MS + 1e3 * turn.prompt_bytes / self.link_bytes_per_s
+        risk_ms = ERROR_MS * replica.errors(now)
+        risk_ms += STALE_MS_PER_S * replica.report_age_s(now)
+        return (
+            preset.queue_weight * queue_ms
+            + preset.prefill_weight * prefill_ms
+            + preset.link_weight * link_ms
+            + preset.risk_weight * risk_ms
+        )
+
+    def _candidates(self, turn: Turn, fleet: Fleet, avoid: frozenset[str]) -> list[ReplicaState]:
+        names = fleet.of_model(turn.model)
+        holders = [n for n in self.beliefs.holders(turn.program_id) if n in fleet.replicas]
+        picked = _sample(self.rng, names, self.preset.candidates)
+        found = _usable(fleet, dict.fromkeys([*holders, *picked]), turn.model, avoid)
+        return found or _usable(fleet, names, turn.model, avoid)
+
+
+@define
+class RoundRobinRouter(Router):
+    """Baseline: each replica in turn."""
+
+    _next: int = 0
+
+    def choose(
+        self, turn: Turn, fleet: Fleet, now: float, avoid: frozenset[str] = frozenset()
+    ) -> Choice | None:
+        """Return the next replica."""
+        usable = _usable(fleet, fleet.of_model(turn.model), turn.model, avoid)
+        if not usable:
+            return None
+        self._next += 1
+        return Choice(usable[self._next % len(usable)].name, 0.0, 0.0)
+
+
+@define
+class LeastOutstandingRouter(Router):
+    """Baseline: the replica with the fewest known requests."""
+
+    def choose(
+        self, turn: Turn, fleet: Fleet, now: float, avoid: frozenset[str] = frozenset()
+    ) -> Choice | None:
+        """Return the least loaded replica."""
+        usable = _usable(fleet, fleet.of_model(turn.model), turn.model, avoid)
+        if not usable:
+            return None
+        return Choice(min(usable, key=ReplicaState.outstanding).name, 0.0, 0.0)
+
+
+@define
+class StickyRouter(Router):
+    """Baseline: the program's first replica, least outstanding at first."""
+
+    _homes: dict[str, str] = field(factory=dict)
+    _first: LeastOutstandingRouter = field(factory=LeastOutstandingRouter)
+
+    def choose(
+        self, turn: Turn, fleet: Fleet, now: float, avoid: frozenset[str] = frozenset()
+    ) -> Choice | None:
+        """Return the home, or a new one when it cannot be used."""
+        home = fleet.replicas.get(self._homes.get(turn.program_id, ''))
+        if home is not None and not home.leaving and home.name not in avoid:
+            return Choice(home.name, 0.0, 0.0)
+        choice = self._first.choose(turn, fleet, now, avoid)
+        if choice is not None:
+            self._homes[turn.program_id] = choice.replica
+        return choice
+
+
+def _sample(rng: random.Random, names: list[str], count: int) -> list[str]:
+    if len(names) <= count:
+        return names
+    return [names[rng.randrange(len(names))] for _ in range(count)]
+
+
+def _usable(fleet: Fleet, names, model: str, avoid: frozenset[str]) -> list[ReplicaState]:
+    found = (fleet.replicas[name] for name in names)
+    return [r for r in found if r.model == model and not r.leaving and r.name not in avoid]
--- /dev/null
+++ b/libs/standins/toucanlead_standins/engine_model.py
@@ -0,0 +1,254 @@
+"""The stand-in model engine: continuous batching, prefix cache, late events."""
+
+import asyncio
+import heapq
+import itertools
+from collections import OrderedDict
+from collections.abc import AsyncIterator
+
+from attrs import define, field
+
+from toucanlead_backends.engine import (
+    CacheEvent,
+    EngineOrder,
+    GenerateEnd,
+    GenerateReq,
+    LoadReport,
+    ModelEngine,
+)
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+from toucanlead_core.messages import Chunk, Message, count_tokens
+
+from .recorder import Recorder, expected_answer, find_marker
+
+
+@define
+class EngineRates:
+    """How fast and how large a stand-in replica is."""
+
+    slots: int = 8
+    prefill_tokens_per_s: float = 8000.0
+    decode_token_s: float = 0.004
+    cache_limit_tokens: int = 60_000
+    event_delay_s: float = 0.5
+    load_delay_s: float = 1.0
+
+
+@define
+class EngineFaults:
+    """Faults that a test may switch on."""
+
+    down: bool = False
+    silent: bool = False
+    break_after_tokens: int | None = None
+    drop_events: bool = False
+    slowness: float = 1.0
+
+
+@define(order=True)
+class _Waiter:
+    priority: int
+    number: int
+    ready: asyncio.Event = field(factory=asyncio.Event, order=False)
+
+
+class EngineModel(ModelEngine):
+    """One replica, usable directly or behind its HTTP front."""
+
+    def __init__(self, name: str, recorder: Recorder, rates: EngineRates | None = None) -> None:
+        """Take the replica's name, the recorder and the rates."""
+        self.name = name
+        self.faults = EngineFaults()
+        self.obeys_fence = True
+        self._recorder = recorder
+        self._rates = rates or EngineRates()
+        self._running = 0
+        self._waiters: list[_Waiter] = []
+        self._numbers = itertools.count(1)
+        self._cache: OrderedDict[str, list[Message]] = OrderedDict()
+        self._holds: set[str] = set()
+        self._exports: dict[str, list[Message]] = {}
+        self._events: list[tuple[float, CacheEvent]] = []
+        self._order = EngineOrder(fence=0, model='')
+        self._report = (0.0, 0, 0)
+        self.computed: dict[str, int] = {}
+
+    async def generate(self, req: GenerateReq) -> AsyncIterator[Chunk | GenerateEnd]:
+        """Wait for a slot, prefill what is not cached, then decode."""
+        if self.faults.down:
+            raise NotSent('connection refused', peer=self.name)
+        await self._take_slot(req.priority)
+        try:
+            async for item in self._work(req):
+                yield item
+        finally:
+            self._free_slot()
+
+    async def load(self) -> LoadReport:
+        """Return a report as old as the lag."""
+        self._reachable()
+        now = self._now()
+        if now - self._report[0] >= self._rates.load_delay_s:
+            self._report = (now, self._running, len(self._waiters))
+        return LoadReport(
+            running=self._report[1],
+            waiting=self._report[2],
+            cache_used_tokens=self._cache_used(),
+            cache_limit_tokens=self._rates.cache_limit_tokens,
+            age_s=now - self._report[0],
+        )
+
+    async def events(self, since: int) -> list[CacheEvent]:
+        """Return events that are old enough to be published."""
+        self._reachable()
+        published = self._now() - self._rates.event_delay_s
+        return [e for at, e in self._events if e.number > since and at <= published]
+
+    async def held(self) -> list[str]:
+        """Return programs with cached or pinned tokens."""
+        self._reachable()
+        return sorted(set(self._cache) | self._holds)
+
+    async def hold(self, program_id: str) -> None:
+        """Pin a program's cache."""
+        self._reachable()
+        if program_id in self._cache:
+            self._holds.add(program_id)
+
+    async def release(self, program_id: str) -> None:
+        """Free a program's cache."""
+        self._reachable()
+        self._holds.discard(program_id)
+        if self._cache.pop(program_id, None) is not None:
+            self._publish(program_id, 0)
+
+    async def export_cache(self, program_id: str) -> str:
+        """Copy out, then free."""
+        self._reachable()
+        handle = f'{self.name}/{program_id}'
+        self._exports[handle] = self._cache.get(program_id, [])
+        await self.release(program_id)
+        return handle
+
+    async def import_cache(self, program_id: str, handle: str) -> None:
+        """Load an exported cache."""
+        self._reachable()
+        self._store(program_id, self._exports.pop(handle, []))
+
+    async def order(self, order: EngineOrder) -> EngineOrder:
+        """Set the wanted state unless the fencing number is old."""
+        self._reachable()
+        if not self.obeys_fence or order.fence >= self._order.fence:
+            self._order = order
+        return self._order
+
+    def held_names(self) -> list[str]:
+        """Return the callers' names of programs with cached or pinned tokens."""
+        names = []
+        for program_id in set(self._cache) | self._holds:
+            texts = [m.content for m in self._cache.get(program_id, [])]
+            markers = [marker for marker in map(find_marker, texts) if marker]
+            names.append(markers[0].program if markers else program_id)
+        return sorted(names)
+
+    async def _work(self, req: GenerateReq) -> AsyncIterator[Chunk | GenerateEnd]:
+        prompt = [count_tokens(m.content) for m in req.messages]
+        cached = self._cached_tokens(req)
+        computed = min(self.computed.get(req.program_id, 0), sum(prompt))
+        new_tokens = sum(prompt) - cached
+        marker = find_marker(req.messages[-1].content)
+        self._recorder.prompted(req.messages, new_tokens, cached, max(0, computed - cached))
+        if req.resume_from == 0 and marker is not None:
+            self._recorder.charged(marker.program, self._delta_tokens(req))
+        slow = self.faults.slowness
+        await asyncio.sleep(slow * new_tokens / self._rates.prefill_tokens_per_s)
+        answer = expected_answer(marker).split(' ') if marker else ['ok']
+        answer = answer[: req.max_tokens]
+        for number in range(req.resume_from, len(answer)):
+            await asyncio.sleep(slow * self._rates.decode_token_s)
+            await self._fail_if_told(number - req.resume_from)
+            if marker is not None:
+                self._recorder.charged(marker.program, 1)
+            text = answer[number] if number == 0 else ' ' + answer[number]
+            yield Chunk(number, text, 1)
+        done = [*req.messages, Message('assistant', ' '.join(answer))]
+        self._store(req.program_id, done)
+        total = sum(prompt) + len(answer)
+        self.computed[req.program_id] = max(self.computed.get(req.program_id, 0), total)
+        yield GenerateEnd(sum(prompt), cached, len(answer) - req.resume_from)
+
+    def _delta_tokens(self, req: GenerateReq) -> int:
+        """Return the tokens of the new input: what follows the last answer."""
+        total = 0
+        for message in reversed(req.messages):
+            if message.role in ('assistant', 'tool'):
+                break
+            total += count_tokens(message.content)
+        return total
+
+    async def _fail_if_told(self, produced: int) -> None:
+        while self.faults.silent:
+            await asyncio.sleep(1.0)
+        if self.faults.down:
+            raise OutcomeUnknown('connection reset', peer=self.name)
+        limit = self.faults.break_after_tokens
+        if limit is not None and produced >= limit:
+            self.faults.break_after_tokens = None
+            raise OutcomeUnknown('stream broken', peer=self.name)
+
+    async def _take_slot(self, priority: int) -> None:
+        if self._running < self._rates.slots and not self._waiters:
+            self._running += 1
+            return
+        waiter = _Waiter(priority, next(self._numbers))
+        heapq.heappush(self._waiters, waiter)
+        try:
+            await waiter.ready.wait()
+        except asyncio.CancelledError:
+            if waiter.ready.is_set():
+                self._free_slot()
+            else:
+                self._waiters.remove(waiter)
+                heapq.heapify(self._waiters)
+            raise
+
+    def _free_slot(self) -> None:
+        if self._waiters:
+            heapq.heappop(self._waiters).ready.set()
+        else:
+            self._running -= 1
+
+    def _cached_tokens(self, req: GenerateReq) -> int:
+        known = self._cache.get(req.program_id, [])
+        tokens = 0
+        for ours, theirs in zip(known, req.messages, strict=False):
+            if ours != theirs:
+                break
+            tokens += count_tokens(ours.content)
+        return tokens
+
+    def _store(self, program_id: str, messages: list[Message]) -> None:
+        self._cache[program_id] = messages
+        self._cache.move_to_end(program_id)
+        self._publish(program_id, sum(count_tokens(m.content) for m in messages))
+        while self._cache_used() > self._rates.cache_limit_tokens:
+            victims = [p for p in self._cache if p not in self._holds] or list(self._cache)
+            self._holds.discard(victims[0])
+            del self._cache[victims[0]]
+            self._publish(victims[0], 0)
+
+    def _cache_used(self) -> int:
+        return sum(count_tokens(m.content) for msgs in self._cache.values() for m in msgs)
+
+    def _publish(self, program_id: str, tokens: int) -> None:
+        number = next(self._numbers)
+        if not self.faults.drop_events:
+            event = CacheEvent(number, program_id, tokens)
+            self._events.append((self._now(), event))
+
+    def _reachable(self) -> None:
+        if self.faults.down:
+            raise NotSent('connection refused', peer=self.name)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/libs/standins/toucanlead_standins/kv_model.py
@@ -0,0 +1,135 @@
+"""The stand-in key-value service: revisions, leases, watches and outages."""
+
+import asyncio
+from collections.abc import Callable
+
+from attrs import define, field
+
+from toucanlead_platform.kv import (
+    Compare,
+    Delete,
+    KvCounters,
+    KvEntry,
+    Put,
+    TxnResult,
+    WatchEvent,
+)
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+@define
+class _Lease:
+    ttl_s: float
+    expires_at: float
+    keys: set[str] = field(factory=set)
+
+
+class KvModel:
+    """One service's state; methods take effect at once."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        """Take the clock by which leases lapse, in seconds."""
+        self._clock = clock
+        self._entries: dict[str, KvEntry] = {}
+        self._leases: dict[int, _Lease] = {}
+        self._history: list[WatchEvent] = []
+        self._changed = asyncio.Event()
+        self.revision = 1
+        self.counters = KvCounters()
+        self.down = False
+        self.delay_s = 0.0
+        self.lose_answers = 0
+
+    def get(self, key: str) -> KvEntry | None:
+        """Return an entry."""
+        self._expire()
+        self.counters.reads += 1
+        return self._entries.get(key)
+
+    def scan(self, prefix: str) -> list[KvEntry]:
+        """Return all entries under a prefix."""
+        self._expire()
+        self.counters.reads += 1
+        return [self._entries[k] for k in sorted(self._entries) if k.startswith(prefix)]
+
+    def txn(self, compares: list[Compare], ops: list[Put | Delete]) -> TxnResult:
+        """Apply operations if the conditions hold."""
+        self._expire()
+        self.counters.writes += 1
+        for compare in compares:
+            entry = self._entries.get(compare.key)
+            if (entry.mod_rev if entry else 0) != compare.mod_rev:
+                return TxnResult(False, self.revision)
+        self.revision += 1
+        for op in ops:
+            if isinstance(op, Delete):
+                self._delete(op.key)
+            else:
+                self._put(op)
+        self._notify()
+        return TxnResult(True, self.revision)
+
+    def grant_lease(self, ttl_s: float) -> int:
+        """Create a lease."""
+        self.counters.writes += 1
+        lease = len(self._leases) + 1
+        self._leases[lease] = _Lease(ttl_s, self._clock() + ttl_s)
+        return lease
+
+    def keep_alive(self, lease: int) -> bool:
+        """Renew a lease if it has not lapsed."""
+        self._expire()
+        self.counters.writes += 1
+        held = self._leases.get(lease)
+        if held is None or held.expires_at <= self._clock():
+            return False
+        held.expires_at = self._clock() + held.ttl_s
+        return True
+
+    def revoke(self, lease: int) -> None:
+        """End a lease."""
+        held = self._leases.get(lease)
+        if held is not None:
+            held.expires_at = self._clock()
+            self._expire()
+
+    def events_after(self, prefix: str, revision: int) -> list[WatchEvent]:
+        """Return changes at or above a revision."""
+        self._expire()
+        return [e for e in self._history if e.mod_rev >= revision and e.key.startswith(prefix)]
+
+    async def changed(self) -> None:
+        """Wait until something changes."""
+        await self._changed.wait()
+
+    def _put(self, op: Put) -> None:
+        if len(op.value) > MAX_VALUE_BYTES:
+            raise ValueError(f'{op.key}: value of {len(op.value)} bytes is over the limit')
+        self.counters.write_bytes += len(op.value)
+        old = self._entries.get(op.key)
+        created = old.create_rev if old else self.revision
+        self._entries[op.key] = KvEntry(op.key, op.value, created, self.revision)
+        self._history.append(WatchEvent(op.key, op.value, self.revision))
+        if op.lease:
+            self._leases[op.lease].keys.add(op.key)
+
+    def _delete(self, key: str) -> None:
+        if self._entries.pop(key, None) is not None:
+            self._history.append(WatchEvent(key, None, self.revision))
+
+    def _expire(self) -> None:
+        now = self._clock()
+        lapsed = [lease for lease in self._leases.values() if lease.expires_at <= now]
+        for lease in lapsed:
+            if lease.keys:
+                self.revision += 1
+            for key in sorted(lease.keys):
+                self._delete(key)
+            lease.keys.clear()
+        if lapsed:
+            self._notify()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/libs/standins/toucanlead_standins/network.py
@@ -0,0 +1,108 @@
+"""The fake network: latencies, cuts between zones, silent connections."""
+
+import asyncio
+
+from attrs import define, field, frozen
+
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+
+CONNECT_TIMEOUT_S = 1.0
+REQUEST_TIMEOUT_S = 1.0
+
+
+@frozen
+class Place:
+    """Where a process runs."""
+
+    region: str
+    zone: str
+
+
+@define
+class Gate:
+    """One process as the network sees it: running, paused or dead."""
+
+    name: str
+    place: Place
+    alive: bool = True
+    _running: asyncio.Event = field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        """Start running."""
+        self._running.set()
+
+    def pause(self) -> None:
+        """Stop the process from sending and receiving."""
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Let it go on."""
+        self._running.set()
+
+    async def passable(self) -> None:
+        """Wait while the process is paused."""
+        await self._running.wait()
+
+
+@define
+class Network:
+    """Latency and reachability between gates; counts bytes between regions."""
+
+    zone_latency_s: float = 0.001
+    region_latency_s: float = 0.020
+    link_bytes_per_s: float = 15e6 / 8
+    cut_zones: set[frozenset[str]] = field(factory=set)
+    cut_regions: bool = False
+    silent: set[tuple[str, str]] = field(factory=set)
+    link_bytes: int = 0
+
+    def latency_s(self, src: Place, dst: Place) -> float:
+        """Return the one-way latency."""
+        if src.region != dst.region:
+            return self.region_latency_s
+        return self.zone_latency_s if src.zone != dst.zone else self.zone_latency_s / 4
+
+    def reachable(self, src: Gate, dst: Gate) -> bool:
+        """Say whether packets pass now."""
+        if not src.alive or not dst.alive:
+            return False
+        if self.cut_regions and src.place.region != dst.place.region:
+            return False
+        return frozenset((src.place.zone, dst.place.zone)) not in self.cut_zones
+
+    def cut_zone(self, zone: str, others: list[str]) -> None:
+        """Cut a zone off from other zones."""
+        self.cut_zones.update(frozenset((zone, o)) for o in others if o != zone)
+
+    def heal(self) -> None:
+        """Mend all cuts."""
+        self.cut_zones.clear()
+        self.cut_regions = False
+        self.silent.clear()
+
+    async def send(self, src: Gate, dst: Gate, size_bytes: int = 200) -> None:
+        """Carry a request; NotSent when nothing can be reached."""
+        await src.passable()
+        if not self.reachable(src, dst):
+            await asyncio.sleep(CONNECT_TIMEOUT_S if src.alive and dst.alive else 0.001)
+            raise NotSent('connection refused', peer=dst.name)
+        await self._carry(src, dst, size_bytes)
+        await dst.passable()
+        if not dst.alive:
+            raise OutcomeUnknown('connection reset', peer=dst.name)
+
+    async def reply(self, src: Gate, dst: Gate, size_bytes: int = 200) -> None:
+        """Carry an answer; OutcomeUnknown when it cannot arrive."""
+        await src.passable()
+        if not self.reachable(src, dst):
+            await asyncio.sleep(REQUEST_TIMEOUT_S)
+            raise OutcomeUnknown('no answer', peer=src.name)
+        await self._carry(src, dst, size_bytes)
+        await dst.passable()
+
+    async def _carry(self, src: Gate, dst: Gate, size_bytes: int) -> None:
+        delay_s = self.latency_s(src.place, dst.place)
+        if src.place.region != dst.place.region:
+            self.link_bytes += size_bytes
+            delay_s += size_bytes / self.link_bytes_per_s
+        await asyncio.sleep(delay_s)
--- /dev/null
+++ b/libs/standins/toucanlead_standins/tool_model.py
@@ -0,0 +1,76 @@
+"""The stand-in tool service: bookings, orders, charges, look-ups."""
+
+import asyncio
+
+from attrs import define, field
+
+from toucanlead_backends.tool import OutcomeState, ToolOutcome, ToolReq, ToolService
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+
+from .recorder import Recorder
+
+EFFECT_TOOLS = frozenset({'book', 'order', 'charge', 'reorder', 'return_shipment'})
+
+
+@define
+class ToolFaults:
+    """Faults that a test may switch on."""
+
+    down: bool = False
+    hang: bool = False
+    lose_answer: bool = False
+
+
+@define
+class _Done:
+    content: str
+    ready: bool = False
+
+
+@define
+class ToolModel(ToolService):
+    """A service that runs whatever it is sent, as often as it is sent."""
+
+    name: str
+    recorder: Recorder
+    duration_s: float = 0.05
+    prices: dict[str, int] = field(factory=dict)
+    answers_outcomes: bool = True
+    faults: ToolFaults = field(factory=ToolFaults)
+    _outcomes: dict[str, _Done] = field(factory=dict)
+
+    async def call(self, req: ToolReq) -> str:
+        """Perform the call, then answer."""
+        if self.faults.down:
+            raise NotSent('connection refused', peer=self.name)
+        program = str(req.args.get('program', req.program_id))
+        seq = int(req.args.get('n', req.seq))
+        repeatable = req.tool not in EFFECT_TOOLS
+        self.recorder.effect(program, seq, repeatable=repeatable)
+        self.recorder.charged(program, self.prices.get(req.tool, 1))
+        done = _Done(tool_answer(req.tool, program, seq))
+        self._outcomes[req.idempotency_key] = done
+        while self.faults.hang:
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(self.duration_s)
+        done.ready = True
+        if self.faults.lose_answer:
+            self.faults.lose_answer = False
+            raise OutcomeUnknown('connection reset', peer=self.name)
+        return done.content
+
+    async def outcome(self, idempotency_key: str) -> ToolOutcome:
+        """Tell what became of a call."""
+        if self.faults.down:
+            raise NotSent('connection refused', peer=self.name)
+        done = self._outcomes.get(idempotency_key)
+        if done is None or not self.answers_outcomes:
+            return ToolOutcome(OutcomeState.UNSEEN)
+        if not done.ready:
+            return ToolOutcome(OutcomeState.RUNNING)
+        return ToolOutcome(OutcomeState.DONE, done.content)
+
+
+def tool_answer(tool: str, program: str, seq: int) -> str:
+    """Return the answer that a stand-in tool gives."""
+    return f'@{program}/{seq} {tool} done'
--- /dev/null
+++ b/libs/state/toucanlead_state/__init__.py
@@ -0,0 +1,1 @@
+"""Program ledger, budget escrow and journal as state machines without I/O."""
--- /dev/null
+++ b/libs/state/toucanlead_state/batcher.py
@@ -0,0 +1,99 @@
+"""Batcher: gathers records into journal segments; no I/O, no clock of its own."""
+
+from attrs import define, field
+
+from toucanlead_core.codec import to_json
+
+from .records import Record, Segment
+
+SEGMENT_LIMIT_BYTES = 900_000  # the service holds values up to a megabyte
+SEGMENT_FRAME_BYTES = 200
+
+
+@define
+class _Pending:
+    ticket: int
+    records: list[Record]
+    size_bytes: int
+
+
+@define
+class Batcher:
+    """Group commit: at most one segment in flight, records kept in order."""
+
+    holder: str
+    delay_s: float
+    next_index: int = 0
+    _pending: list[_Pending] = field(factory=list)
+    _in_flight: list[_Pending] = field(factory=list)
+    _segment: Segment | None = None
+    _due_at: float | None = None
+    _tickets: int = 0
+
+    def add(self, records: list[Record], now: float, *, urgent: bool) -> int:
+        """Queue records that must be durable together; return their ticket."""
+        size = sum(len(to_json(record)) + 16 for record in records)
+        if size > SEGMENT_LIMIT_BYTES - SEGMENT_FRAME_BYTES:
+            raise ValueError(f'records of {size} bytes do not fit a segment')
+        self._tickets += 1
+        self._pending.append(_Pending(self._tickets, records, size))
+        due = now if urgent else now + self.delay_s
+        self._due_at = due if self._due_at is None else min(self._due_at, due)
+        return self._tickets
+
+    def due_at(self) -> float | None:
+        """Return when the next segment is to be written, None if none is."""
+        if self._segment is not None:
+            return None
+        return self._due_at
+
+    @property
+    def in_flight(self) -> Segment | None:
+        """Return the segment being written."""
+        return self._segment
+
+    @property
+    def backlog(self) -> int:
+        """Return how many batches wait behind the segment in flight."""
+        return len(self._pending)
+
+    def start(self, nonce: str) -> Segment:
+        """Form the next segment from what waits, up to the size limit."""
+        size = SEGMENT_FRAME_BYTES
+        while self._pending:
+            size += self._pending[0].size_bytes
+            if size > SEGMENT_LIMIT_BYTES:
+                break
+            self._in_flight.append(self._pending.pop(0))
+        if not self._pending:
+            self._due_at = None
+        records = [record for batch in self._in_flight for record in batch.records]
+        self._segment = Segment(nonce, self.holder, self.next_index, records)
+        return self._segment
+
+    def committed(self) -> list[int]:
+        """Note that the segment is durable; return the tickets in it."""
+        tickets = [batch.ticket for batch in self._in_flight]
+        self._in_flight = []
+        self._segment = None
+        self.next_index += 1
+        return tickets
+
+    def undurable(self) -> list[Record]:
+        """Return all records not known to be durable, in order."""
+        batches = self._in_flight + self._pending
+        return [record for batch in batches for record in batch.records]
+
+    def fail(self) -> list[int]:
+        """Drop everything not durable; return the tickets that failed."""
+        tickets = [batch.ticket for batch in self._in_flight + self._pending]
+        self._in_flight = []
+        self._pending = []
+        self._segment = None
+        self._due_at = None
+        return tickets
+
+
+def commit_delay_s(members: int, writes_per_s: float, floor_s: float) -> float:
+    """Return the group commit delay that keeps all members within a write rate."""
+    return max(floor_s, members / writes_per_s)
--- /dev/null
+++ b/libs/state/toucanlead_state/checkpoint.py
@@ -0,0 +1,92 @@
+"""Checkpoint of a program: a head and parts of its history, each under a megabyte."""
+
+from attrs import field, frozen
+
+from toucanlead_core.codec import to_json
+
+from .budget import Escrow, Grant
+from .ledger import HeldClaim, Program
+from .records import Claimed, Finished, Opened
+
+PART_LIMIT_BYTES = 600_000
+
+
+@frozen
+class SavedClaim:
+    """A claim without an outcome, and its holder."""
+
+    claim: Claimed
+    holder: str
+
+
+@frozen
+class Head:
+    """Everything of a program but its turns."""
+
+    opened: Opened
+    turns: int
+    parts: int
+    ended: bool
+    nonce: str
+    grants: dict[str, Grant] = field(factory=dict)
+    claims: list[SavedClaim] = field(factory=list)
+    replicas: list[str] = field(factory=list)
+    branches: list[Finished] = field(factory=list)
+    applied: dict[str, int] = field(factory=dict)
+
+
+@frozen
+class Part:
+    """Some consecutive turns."""
+
+    turns: list[Finished]
+
+
+def new_parts(program: Program) -> list[Part]:
+    """Return the turns that are not in a part yet, split by size."""
+    parts: list[Part] = []
+    turns: list[Finished] = []
+    size = 0
+    for turn in program.turns[program.saved_turns :]:
+        turn_bytes = len(to_json(turn))
+        if turns and size + turn_bytes > PART_LIMIT_BYTES:
+            parts.append(Part(turns))
+            turns, size = [], 0
+        turns.append(turn)
+        size += turn_bytes
+    if turns:
+        parts.append(Part(turns))
+    return parts
+
+
+def head_of(program: Program, parts: int, applied: dict[str, int], nonce: str) -> Head:
+    """Return the head that goes with a number of parts."""
+    return Head(
+        opened=program.opened,
+        turns=len(program.turns),
+        parts=parts,
+        ended=program.ended,
+        nonce=nonce,
+        grants=program.escrow.grants if program.escrow else {},
+        claims=[SavedClaim(held.claim, held.holder) for held in program.claims.values()],
+        replicas=sorted(program.replicas),
+        branches=program.branches,
+        applied=applied,
+    )
+
+
+def restore(head: Head, parts: list[Part], head_rev: int) -> Program:
+    """Build a program from its checkpoint."""
+    program = Program(opened=head.opened)
+    if head.opened.parent is None:
+        program.escrow = Escrow(total=head.opened.budget, grants=dict(head.grants))
+    program.turns = [turn for part in parts for turn in part.turns][: head.turns]
+    program.claims = {s.claim.seq: HeldClaim(s.claim, s.holder) for s in head.claims}
+    program.replicas = set(head.replicas)
+    program.branches = list(head.branches)
+    program.ended = head.ended
+    program.applied = dict(head.applied)
+    program.saved_turns = head.turns
+    program.saved_parts = head.parts
+    program.head_rev = head_rev
+    return program
--- /dev/null
+++ b/libs/trials/toucanlead_trials/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, fault matrix, benchmark and slope measurements."""
