--- /dev/null
+++ b/libs/trials/toucanlead_trials/demo.py
@@ -0,0 +1,120 @@
+"""Demo: both customers' recorded programs through real entries on loopback."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from attrs import asdict, frozen
+
+from toucanlead_standins.recorder import Invariant
+
+from .caller import HttpPort, Replayer
+from .site import PLANS, Site, team_key
+from .statistics import percentile
+from .trace import CUSTOMERS, TraceProgram, recorded
+
+TIME_SCALE = 0.01
+RELEASE_WAIT_S = 10.0  # engine memory must be free this long after the last end
+PROGRESS_S = 1.0
+
+
+@frozen
+class DemoRow:
+    """One customer's result."""
+
+    customer: str
+    programs: int
+    completed: int
+    calls: int
+    retries: int
+    program_latency_p50_s: float
+    program_latency_p95_s: float
+    turn_latency_p95_s: float
+    wasted_cache_ratio: float
+    link_bytes: int
+    kv_writes_per_call: float
+    violations: dict[str, int]
+    unexpected: list[str]
+
+
+async def run_demo(say: Callable[[str], None], limit: int | None = None) -> list[DemoRow]:
+    """Run both customers, one after the other."""
+    return [await run_customer(customer, say, limit) for customer in CUSTOMERS]
+
+
+async def run_customer(
+    customer: str, say: Callable[[str], None], limit: int | None = None
+) -> DemoRow:
+    """Start one customer's site, replay its programs and judge."""
+    site = Site(PLANS[customer])
+    programs = _first(recorded(customer), limit)
+    say(f'{customer}: starting {len(site.plan.entries)} entries, {site.plan.engines} engines')
+    await site.start()
+    try:
+        writes_before = site.kv.counters.writes
+        port = HttpPort(site.session, site.caller_addresses, team_key, site.plan.caller_latency_s)
+        replayer = Replayer(port, site.recorder, TIME_SCALE)
+        progress = asyncio.create_task(_progress(customer, replayer, len(programs), say))
+        try:
+            await replayer.play(programs)
+        finally:
+            progress.cancel()
+        writes = site.kv.counters.writes - writes_before
+        await _until_released(site)
+    finally:
+        await site.stop()
+    return _row(customer, replayer, site, writes)
+
+
+def demo_document(rows: list[DemoRow]) -> dict:
+    """Return the report that goes to build/demo.json."""
+    violations = {i.value: sum(r.violations[i.value] for r in rows) for i in Invariant}
+    return {
+        'programs': sum(r.programs for r in rows),
+        'completed': sum(r.completed for r in rows),
+        'violations': violations,
+        'customers': [asdict(row) for row in rows],
+    }
+
+
+def _first(programs: list[TraceProgram], limit: int | None) -> list[TraceProgram]:
+    if limit is None:
+        return programs
+    roots = [p.name for p in programs if p.parent is None][:limit]
+    return [p for p in programs if (p.parent or p.name) in roots]
+
+
+async def _progress(
+    customer: str, replayer: Replayer, total: int, say: Callable[[str], None]
+) -> None:
+    while True:
+        await asyncio.sleep(PROGRESS_S)
+        report = replayer.report
+        say(f'{customer}: {report.completed} of {total} programs, {report.calls} calls')
+
+
+async def _until_released(site: Site) -> None:
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(RELEASE_WAIT_S):
+            while site.held_programs():
+                await asyncio.sleep(0.1)
+    site.recorder.memory_held(site.held_programs())
+
+
+def _row(customer: str, replayer: Replayer, site: Site, writes: int) -> DemoRow:
+    report = replayer.report
+    return DemoRow(
+        customer=customer,
+        programs=report.programs,
+        completed=report.completed,
+        calls=report.calls,
+        retries=report.retries,
+        program_latency_p50_s=round(percentile(report.latencies_s, 50), 4),
+        program_latency_p95_s=round(percentile(report.latencies_s, 95), 4),
+        turn_latency_p95_s=round(percentile(report.turn_latencies_s, 95), 4),
+        wasted_cache_ratio=round(site.recorder.wasted_cache_ratio, 4),
+        link_bytes=site.link.carried_bytes,
+        kv_writes_per_call=round(writes / max(1, report.calls), 3),
+        violations=site.recorder.counts(),
+        unexpected=report.unexpected,
+    )
--- /dev/null
+++ b/libs/trials/toucanlead_trials/trace.py
@@ -0,0 +1,59 @@
+"""Trace format: recorded programs, one JSON object a line (docs/traces.md)."""
+
+from importlib import resources
+from pathlib import Path
+from typing import Any
+
+from attrs import field, frozen
+
+from toucanlead_core.codec import from_json
+from toucanlead_core.messages import CallKind, CallReq, Message
+
+CUSTOMERS = ('flamaviva', 'kushiro')
+
+
+@frozen
+class TraceCall:
+    """One recorded call; the pause precedes it, tokens are what the engine gave."""
+
+    kind: CallKind
+    pause_s: float = 0.0
+    messages: list[Message] = field(factory=list)
+    max_tokens: int = 256
+    output_tokens: int = 0
+    tool: str = ''
+    args: dict[str, Any] = field(factory=dict)
+    late: bool = False
+    refusal: str = ''
+
+    def request(self, seq: int) -> CallReq:
+        """Return the call as a caller sends it."""
+        return CallReq(seq, self.kind, self.messages, self.max_tokens, self.tool, self.args)
+
+
+@frozen
+class TraceProgram:
+    """One recorded program; a sub-agent starts after a call of its parent."""
+
+    name: str
+    team: str
+    model: str
+    start_s: float
+    deadline_s: float
+    calls: list[TraceCall]
+    budget: int = 0
+    parent: str | None = None
+    after_seq: int = 0
+
+
+def load_trace(path: Path) -> list[TraceProgram]:
+    """Read a trace file."""
+    lines = path.read_bytes().splitlines()
+    return [from_json(line, TraceProgram) for line in lines if line.strip()]
+
+
+def recorded(customer: str) -> list[TraceProgram]:
+    """Return the recorded programs that come with toucanlead."""
+    data = resources.files('toucanlead_trials') / 'data' / f'{customer}.jsonl'
+    with resources.as_file(data) as path:
+        return load_trace(path)
--- /dev/null
+++ b/tools/check_imports.py
@@ -0,0 +1,70 @@
+"""Checks that libraries import one way, relatively inside and absolutely outside."""
+
+import ast
+import sys
+from pathlib import Path
+
+LIBRARIES = Path(__file__).parent.parent / 'libs'
+ALLOWED = {
+    'core': set(),
+    'policy': {'core'},
+    'state': {'core'},
+    'platform': {'core'},
+    'backends': {'core'},
+    'peer': {'core'},
+    'entry': {'core', 'policy', 'state', 'platform', 'backends', 'peer'},
+    'standins': {'core', 'platform', 'backends', 'peer', 'state'},
+    'trials': {
+        'core',
+        'policy',
+        'state',
+        'platform',
+        'backends',
+        'peer',
+        'entry',
+        'standins',
+    },
+    'cli': {'core', 'entry', 'trials'},
+}
+
+
+def main() -> int:
+    """Print every wrong import; return 1 if there is one."""
+    errors = [error for library in ALLOWED for error in _errors(library)]
+    for error in errors:
+        print(error)
+    return 1 if errors else 0
+
+
+def _errors(library: str) -> list[str]:
+    errors = []
+    for path in sorted((LIBRARIES / library).glob('toucanlead*/**/*.py')):
+        for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+            for name in _imported(node):
+                errors.extend(_judge(library, path, node.lineno, name))
+    return errors
+
+
+def _imported(node: ast.AST) -> list[str]:
+    if isinstance(node, ast.ImportFrom) and node.level == 0 and node.module:
+        return [node.module]
+    if isinstance(node, ast.Import):
+        return [alias.name for alias in node.names]
+    return []
+
+
+def _judge(library: str, path: Path, line: int, name: str) -> list[str]:
+    top = name.partition('.')[0]
+    if not top.startswith('toucanlead'):
+        return []
+    other = top.removeprefix('toucanlead_') if top != 'toucanlead' else 'cli'
+    where = f'{path.relative_to(LIBRARIES.parent)}:{line}'
+    if other == library:
+        return [f'{where}: import {name} relatively']
+    if other not in ALLOWED[library]:
+        return [f'{where}: {library} may not import {name}']
+    return []
+
+
+if __name__ == '__main__':
+    sys.exit(main())
