--- a/libs/core/toucanlead_core/codec.py
+++ b/libs/core/toucanlead_core/codec.py
@@ -15,7 +15,9 @@
 
 
 def _strict(kind: type) -> Any:
-    def check(value: Any, _: type) -> Any:
+    def check(value: Any, target: type) -> Any:
+        if target is not kind:  # enumerations of this scalar come here too
+            return target(value)
         if kind is float and type(value) is int:
             return float(value)
         if type(value) is not kind:
@@ -26,7 +28,7 @@
 
 
 for _kind in _STRICT:
-    converter.register_structure_hook_func(lambda t, k=_kind: t is k, _strict(_kind))
+    converter.register_structure_hook(_kind, _strict(_kind))
 
 
 def to_json(value: Any) -> bytes:
@@ -48,6 +50,13 @@
     try:
         return converter.structure(raw, kind)
     except ClassValidationError as exc:
-        raise ValueError('; '.join(cattrs.transform_error(exc))) from None
+        raise ValueError('; '.join(cattrs.transform_error(exc, format_exception=_say))) from None
     except (TypeError, KeyError, AttributeError) as exc:
         raise ValueError(f'expected {kind.__name__}: {exc}') from None
+
+
+def _say(exc: BaseException, kind: type | None) -> str:
+    """Say what is wrong with one field; the messages of ValueErrors name it."""
+    if isinstance(exc, ValueError) and exc.args:
+        return str(exc.args[0])
+    return cattrs.v.format_exception(exc, kind)
--- a/libs/entry/toucanlead_entry/settings.py
+++ b/libs/entry/toucanlead_entry/settings.py
@@ -2,7 +2,6 @@
 
 import tomllib
 from pathlib import Path
-from typing import Any
 
 from attrs import field, frozen
 
@@ -128,14 +127,14 @@
     try:
         settings = structure(raw, Settings)
     except ValueError as exc:
-        raise SettingsError(source, _readable(str(exc), raw)) from None
+        raise SettingsError(source, _readable(str(exc))) from None
     errors = _cross_errors(settings)
     if errors:
         raise SettingsError(source, errors)
     return settings
 
 
-def _readable(text: str, raw: dict[str, Any]) -> list[str]:
+def _readable(text: str) -> list[str]:
     """Name each wrong value by its key, as in `entry.port`."""
     errors = []
     for part in text.split('; '):
--- a/libs/trials/toucanlead_trials/demo.py
+++ b/libs/trials/toucanlead_trials/demo.py
@@ -38,8 +38,8 @@
 
 
 async def run_demo(say: Callable[[str], None], limit: int | None = None) -> list[DemoRow]:
-    """Run both customers, one after the other."""
-    return [await run_customer(customer, say, limit) for customer in CUSTOMERS]
+    """Run both customers at once, each on a site of its own."""
+    return await asyncio.gather(*(run_customer(c, say, limit) for c in CUSTOMERS))
 
 
 async def run_customer(
--- a/libs/trials/toucanlead_trials/site.py
+++ b/libs/trials/toucanlead_trials/site.py
@@ -37,6 +37,7 @@
 REGION_LATENCY_S = 0.020
 LINK_BYTES_PER_S = 15e6 / 8
 SLOTS = 16
+DECODE_TOKEN_S = 0.002
 TOOL_PRICE = 1
 
 
@@ -202,7 +203,7 @@
     async def _start_backends(self) -> None:
         for number in range(self.plan.engines):
             name = f'{self.shape.model}-{number}'
-            engine = EngineModel(name, self.recorder, EngineRates())
+            engine = EngineModel(name, self.recorder, EngineRates(decode_token_s=DECODE_TOKEN_S))
             self.engines.append(engine)
             await self._serve(name, EngineServer(engine).app())
         prices = dict.fromkeys([*EFFECT_TOOLS, self.shape.lookup], TOOL_PRICE)
--- a/libs/trials/toucanlead_trials/workload.py
+++ b/libs/trials/toucanlead_trials/workload.py
@@ -9,7 +9,7 @@
 
 from .trace import TraceCall, TraceProgram
 
-RUNAWAY_CALLS = 12
+RUNAWAY_CALLS = 9  # the last is refused
 
 
 @frozen
@@ -134,7 +134,9 @@
             f'{name}.sub', start_s, self._calls(f'{name}.sub', self._rng.randint(2, 4), 'sub')
         )
         models = [i for i, c in enumerate(root.calls, 1) if c.kind is CallKind.MODEL]
-        child = evolve(child, team=root.team, parent=name, after_seq=models[len(models) // 2], budget=0)
+        child = evolve(
+            child, team=root.team, parent=name, after_seq=models[len(models) // 2], budget=0
+        )
         budget = root.budget + sum(_worst(c) for c in child.calls) * 4
         return [evolve(root, budget=budget), child]
 
--- /dev/null
+++ b/tests/utils/site.py
@@ -0,0 +1,136 @@
+"""A running site for tests, and a caller that speaks plain HTTP to it."""
+
+import asyncio
+import functools
+
+import aiohttp
+import orjson
+from attrs import define
+
+from toucanlead_entry.context import Pacing
+from toucanlead_policy.preset import Preset
+from toucanlead_trials.site import PLANS, EntryPlace, Site, SitePlan, team_key
+
+TEAM = 'flamaviva-0'
+OTHER_TEAM = 'flamaviva-1'
+MODEL = 'flama-llm'
+FULL = PLANS['flamaviva']
+# One region, so that no test waits for the link between regions.
+SMALL = SitePlan(
+    'flamaviva',
+    (
+        EntryPlace('centro-1', 'centro-a', 'centro'),
+        EntryPlace('centro-2', 'centro-b', 'centro'),
+    ),
+    'centro',
+    ('centro-a', 'centro-b'),
+    2,
+    0.0,
+)
+
+
+@define
+class HttpReply:
+    """What the API answered."""
+
+    status: int
+    document: dict
+    headers: dict
+
+    def __getitem__(self, key):
+        return self.document[key]
+
+
+@define
+class Caller:
+    """A team's program, making requests to any entry."""
+
+    site: Site
+    team: str = TEAM
+    entry: int = 0
+
+    async def request(self, method, path, body=None, *, raw=None, key=None, headers=None):
+        """Make one request and return status and JSON document."""
+        address = self.site.caller_addresses[self.entry % len(self.site.caller_addresses)]
+        sent = {'Authorization': f'Bearer {key or team_key(self.team)}', **(headers or {})}
+        data = raw if raw is not None else orjson.dumps(body) if body is not None else None
+        async with self.site.session.request(
+            method, f'http://{address}{path}', data=data, headers=sent
+        ) as resp:
+            text = await resp.read()
+            document = orjson.loads(text) if 'json' in resp.content_type else {'text': text}
+            return HttpReply(resp.status, document, dict(resp.headers))
+
+    async def admin(self, method, path, body=None, key='operator-key'):
+        """Make one request to the administration API."""
+        daemon = self.site.daemons[self.entry]
+        url = f'http://127.0.0.1:{daemon.admin_port}{path}'
+        headers = {'Authorization': f'Bearer {key}'}
+        async with self.site.session.request(method, url, json=body, headers=headers) as resp:
+            return HttpReply(resp.status, orjson.loads(await resp.read()), dict(resp.headers))
+
+    async def open(self, budget=5000, key='one', **spec):
+        """Open a program and return its id."""
+        body = {'model': MODEL, 'budget': budget, **spec}
+        reply = await self.request('POST', '/v1/programs', body, headers={'Idempotency-Key': key})
+        assert reply.status == 201, reply
+        return reply['program_id']
+
+    async def say(self, program, seq, text='The flame is yellow.', tokens=8, **fields):
+        """Make a model call."""
+        message = {'role': 'user', 'content': f'#{program}/{seq}~{tokens} {text}'}
+        body = {'seq': seq, 'kind': 'model', 'messages': [message], 'max_tokens': 32, **fields}
+        return await self.request('POST', f'/v1/programs/{program}/calls', body)
+
+    async def use(self, program, seq, tool, kind='tool'):
+        """Make a tool call."""
+        body = {'seq': seq, 'kind': kind, 'tool': tool, 'args': {'program': program, 'n': seq}}
+        return await self.request('POST', f'/v1/programs/{program}/calls', body)
+
+    async def metric(self, name, label):
+        """Return a counter's value, summed over the entries."""
+        total = 0.0
+        for address in self.site.caller_addresses:
+            async with self.site.session.get(f'http://{address}/metrics') as resp:
+                for line in (await resp.text()).splitlines():
+                    if line.startswith(name) and label in line:
+                        total += float(line.rpartition(' ')[2])
+        return total
+
+
+def on_site(plan=SMALL, preset=None, pacing=None):
+    """Run an async test on a site that is started for it."""
+
+    def decorate(test):
+        @functools.wraps(test)
+        def wrapper(self):
+            async def scenario():
+                site = Site(plan)
+                await site.start(preset or Preset(), pacing or Pacing())
+                try:
+                    await test(self, Caller(site))
+                finally:
+                    await site.stop()
+
+            asyncio.run(scenario())
+
+        # pytest must not take the wrapped test's parameters for fixtures
+        del wrapper.__wrapped__
+        return wrapper
+
+    return decorate
+
+
+async def read_events(resp: aiohttp.ClientResponse) -> list[tuple[str, str, dict]]:
+    """Return the (id, event, data) of each server-sent event."""
+    events = []
+    ident, kind = '', ''
+    async for raw in resp.content:
+        name, _, value = raw.decode().rstrip('\n').partition(': ')
+        if name == 'id':
+            ident = value
+        elif name == 'event':
+            kind = value
+        elif name == 'data':
+            events.append((ident, kind, orjson.loads(value)))
+    return events
