--- a/libs/entry/toucanlead_entry/checkpoints.py
+++ b/libs/entry/toucanlead_entry/checkpoints.py
@@ -8,7 +8,7 @@
 from toucanlead_platform.kv import Compare, Delete, KvEntry, Put
 from toucanlead_state.checkpoint import Head, Part, head_of, new_parts, restore
 from toucanlead_state.ledger import Ledger, Program
-from toucanlead_state.records import Record, Segment, Settled
+from toucanlead_state.records import Record, Segment
 
 from .context import Context
 from .owner import Owner
@@ -61,14 +61,11 @@
 
     async def settle_and_save(self, program_ids: list[str]) -> None:
         """Save programs for an heir, this holder's open grants given back."""
-        ledger = self._owner.ledger
-        holder = self._owner.holder
         settled: list[Record] = []
         for program_id in program_ids:
-            escrow = ledger.programs[program_id].escrow
-            if escrow is not None and holder in escrow.grants:
-                spent = escrow.grants[holder].spent + self._claimed_cost(program_id)
-                settled.append(Settled(program_id, holder, spent))
+            settlement = self._owner.settlement(program_id)
+            if settlement is not None:
+                settled.append(settlement)
         if settled:
             await self._owner.journal.append(settled, urgent=True)
         for program_id in program_ids:
@@ -120,17 +117,6 @@
             await self._ctx.store.txn([self._owner.journal.guard], [Delete(entry.key)])
         self._first_unsaved.pop(program.program_id, None)
 
-    def _claimed_cost(self, root_id: str) -> int:
-        """Return the cost of calls in doubt in a program's tree."""
-        ledger = self._owner.ledger
-        return sum(
-            held.claim.cost
-            for program in ledger.programs.values()
-            if ledger.root_of(program).program_id == root_id
-            for held in program.claims.values()
-            if held.holder == self._owner.holder
-        )
-
     def _idle_trees(self, idle_before: float) -> list[list[str]]:
         trees: dict[str, list[str]] = {}
         ledger = self._owner.ledger
--- a/libs/entry/toucanlead_entry/context.py
+++ b/libs/entry/toucanlead_entry/context.py
@@ -90,6 +90,7 @@
     idle_evict_s: float = 60.0
     ended_retention_s: float = 300.0
     probe_s: float = 1.0
+    vm_list_s: float = 1.0
 
 
 class TaskSet:
--- a/libs/entry/toucanlead_entry/daemon.py
+++ b/libs/entry/toucanlead_entry/daemon.py
@@ -14,6 +14,7 @@
 from toucanlead_core.timers import LoopTimers
 from toucanlead_peer.grpc_transport import GrpcTransport, peer_server
 from toucanlead_platform.etcd import EtcdStore
+from toucanlead_platform.vmlist import HttpVmList
 from toucanlead_policy.beliefs import CacheBeliefs
 from toucanlead_policy.fleet import Fleet, ReplicaState
 from toucanlead_policy.routing import ExpectedCostRouter
@@ -57,7 +58,9 @@
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         peer_socket = socket.create_server((section.host, section.peer_port))
         peer_port = peer_socket.getsockname()[1]
-        self.entry = Entry(self._context(f'{section.host}:{peer_port}'))
+        vm_list = self.settings.platform.vm_list
+        vms = HttpVmList(self._session, vm_list) if vm_list else None
+        self.entry = Entry(self._context(f'{section.host}:{peer_port}'), vms)
         self._peer_server = peer_server(self.entry)
         await self._peer_server.start(sock=peer_socket)
         keys = KeyRing(self.settings)
@@ -139,6 +142,7 @@
                 replica.slots,
                 replica.prefill_tokens_per_s,
                 replica.decode_token_s,
+                replica.vm_address or replica.address,
             )
         )
     return fleet
--- a/libs/entry/toucanlead_entry/entry.py
+++ b/libs/entry/toucanlead_entry/entry.py
@@ -13,8 +13,10 @@
 from toucanlead_core.ids import rendezvous, slot_of_program
 from toucanlead_peer.messages import ForwardReq, Frame, ProbeReply, ProbeReq, TailPiece
 from toucanlead_peer.transport import PeerHandler
+from toucanlead_platform.vmlist import VmList
 from toucanlead_state.ledger import Ledger
 
+from .backend_watch import BackendWatch
 from .checkpoints import Checkpoints, delete_journal
 from .coalesce import coalesced
 from .context import Context
@@ -33,9 +35,10 @@
 class Entry(PeerHandler):
     """One entry, apart from its listening sockets."""
 
-    def __init__(self, ctx: Context) -> None:
+    def __init__(self, ctx: Context, vms: VmList | None = None) -> None:
         """Build the parts; `start` sets them going."""
         self.ctx = ctx
+        self.backend_watch = BackendWatch(ctx, vms) if vms is not None else None
         self.keeper = SlotKeeper(ctx)
         self.local = LocalService(ctx, self.keeper)
         self.gateway = Gateway(ctx, self.keeper, self.local)
@@ -60,6 +63,8 @@
         self._every(pacing.doubt_poll_s, self.doubts.poll, 'doubts')
         self._every(pacing.tail_sweep_s, self.tails.sweep, 'tails')
         self._every(pacing.reconcile_s * 4, self._upkeep, 'checkpoints')
+        if self.backend_watch is not None:
+            self._every(pacing.vm_list_s, self.backend_watch.poll, 'vm list')
         await tolerate(self.keeper.reconcile(), 'first reconcile')
 
     @property
@@ -134,13 +139,20 @@
     def _fenced(self, owner: Owner) -> None:
         """Begin again as a new incarnation; others own the slots now."""
         log.warning('fenced', holder=owner.holder)
-        self.tails.keep_lost(owner.holder, owner.lost)
+        self.ctx.tasks.spawn(self._leave_tail(owner), 'tail')
         if self.keeper.owner is owner:
             self.keeper.owner = None
             self.keeper.owned.clear()
             if not self.stopping:
                 self.ctx.tasks.spawn(self.keeper.register(), 'register')
 
+    async def _leave_tail(self, owner: Owner) -> None:
+        """Keep for the new owners what this one wrote too late, and what it spent."""
+        lost = list(owner.lost)
+        settlements = owner.settlements(lost)
+        await owner.abandon()
+        self.tails.keep_lost(owner.holder, [*lost, *settlements])
+
     async def _upkeep(self) -> None:
         owner = self.keeper.owner
         checkpoints = self.checkpoints
--- a/libs/entry/toucanlead_entry/gateway.py
+++ b/libs/entry/toucanlead_entry/gateway.py
@@ -63,9 +63,9 @@
                     yield frame
                 return
             except Refusal as refusal:
-                reached = reached or refusal.ran is not Ran.NOT_RUN
                 if refusal.reason not in _MOVED:
-                    raise self._count(refusal) from None
+                    raise self._count(_as_seen(refusal, reached)) from None
+                reached = reached or refusal.ran is not Ran.NOT_RUN
                 why, reason = str(refusal), RetryReason.OWNER_MOVED
             except NotSent as exc:
                 why, reason = str(exc), RetryReason.OWNER_UNREACHABLE
@@ -100,6 +100,17 @@
         return refusal
 
 
+def _as_seen(refusal: Refusal, reached: bool) -> Refusal:
+    """Return a refusal in the light of earlier attempts of the same request.
+
+    A former owner may have run the call and ended before it wrote so; then
+    the new owner's "not run" is true of its own attempt only.
+    """
+    if reached and refusal.ran is Ran.NOT_RUN:
+        refusal.ran = Ran.UNKNOWN
+    return refusal
+
+
 def _unreachable(why: str, reached: bool) -> Refusal:
     return Refusal(
         Reason.OWNER_UNREACHABLE,
--- a/libs/entry/toucanlead_entry/journal.py
+++ b/libs/entry/toucanlead_entry/journal.py
@@ -61,6 +61,7 @@
     def append(self, records: list[Record], *, urgent: bool = False) -> asyncio.Future:
         """Queue records; the future fails with Fenced after a takeover."""
         future = asyncio.get_running_loop().create_future()
+        future.add_done_callback(_retrieve)
         if self.fenced:
             future.set_exception(self._fenced_error())
             return future
@@ -70,7 +71,6 @@
         )
         ticket = self._batcher.add(records, self._ctx.timers.now(), urgent=urgent)
         self._futures[ticket] = future
-        future.add_done_callback(_retrieve)
         self._wake.set()
         return future
 
--- a/libs/entry/toucanlead_entry/live.py
+++ b/libs/entry/toucanlead_entry/live.py
@@ -1,9 +1,10 @@
 """Live call: one call under way, apart from the connections that wait for it."""
 
 import asyncio
-from collections.abc import AsyncIterator
+import contextlib
+from collections.abc import AsyncIterator, Iterator
 
-from toucanlead_core.errors import Refusal
+from toucanlead_core.errors import NotSent, Refusal
 from toucanlead_core.messages import Answer, CallReq, Chunk
 
 
@@ -32,6 +33,17 @@
         self.tokens += chunk.tokens
         self._signal()
 
+    @contextlib.contextmanager
+    def sending(self) -> Iterator[None]:
+        """Mark that something may run; unmark when it provably reached nobody."""
+        before = self.touched_backend
+        self.touched_backend = True
+        try:
+            yield
+        except NotSent:
+            self.touched_backend = before
+            raise
+
     def text(self) -> str:
         """Return what has been streamed so far."""
         return ''.join(chunk.text for chunk in self._chunks)
--- a/libs/entry/toucanlead_entry/model_calls.py
+++ b/libs/entry/toucanlead_entry/model_calls.py
@@ -141,8 +141,9 @@
                 preset.progress_timeout_s,
                 choice.replica,
             )
-            async for item in source:
-                await self._take(item, program, live, progress, started_at)
+            with live.sending():
+                async for item in source:
+                    await self._take(item, program, live, progress, started_at)
             served_s = ctx.timers.now() - started_at
         finally:
             replica.done(prefill, served_s)
@@ -180,7 +181,6 @@
         progress: _Progress,
         started_at: float,
     ) -> None:
-        live.touched_backend = True
         if isinstance(item, GenerateEnd):
             progress.end = item
             return
@@ -231,7 +231,6 @@
         Through a connection gone silent the engine may have gone on to the
         end of the answer, so nothing less is certain to cover it.
         """
-        live.touched_backend = True
         self._fail_replica(choice.replica, progress)
         self._spending.spend_reserved(program, live, choice.replica)
         self._may_retry(str(exc), live, progress, choice.replica)
--- a/libs/entry/toucanlead_entry/owner.py
+++ b/libs/entry/toucanlead_entry/owner.py
@@ -1,7 +1,7 @@
 """Owner: the programs of the slots that this incarnation of the entry owns."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import structlog
 from attrs import define, evolve, field
@@ -29,6 +29,8 @@
     Granted,
     Opened,
     Record,
+    Settled,
+    Spent,
     Unclaimed,
 )
 
@@ -42,7 +44,8 @@
 
 log = structlog.get_logger()
 
-FIRST_GRANT_SHARE = 0.5
+FIRST_GRANT_SHARE = 0.125  # a takeover counts what is open as spent
+FIRST_GRANT_LIMIT = 4096
 
 
 @define
@@ -107,7 +110,7 @@
             return self._reopened(known, team, digest)
         self._check_open(team, spec)
         first = 0 if spec.parent else int(spec.budget * FIRST_GRANT_SHARE)
-        grant = min(first, 4096)
+        grant = min(first, FIRST_GRANT_LIMIT)
         record = Opened(
             program_id,
             team,
@@ -198,6 +201,46 @@
         await self._durably([Adopted(program_id, holder, finished)], Step.RECORD)
         self.tools.settled(program, seq, self.ledger.escrow_of(program))
 
+    def settlement(self, root_id: str, lost: Sequence[Record] = ()) -> Settled | None:
+        """Return the most that this holder can have spent of a root's budget.
+
+        That is what is durable, what was written and is not, what is reserved
+        for calls under way, and calls in doubt.
+        """
+        program = self.ledger.programs.get(root_id)
+        if program is None or program.escrow is None:
+            return None
+        escrow = program.escrow
+        if self.holder not in escrow.grants:
+            return None
+        tree = {p.program_id for p in self._tree(root_id)}
+        undurable = sum(_expense(r) for r in lost if r.program_id in tree)
+        doubted = sum(
+            held.claim.cost
+            for p in self._tree(root_id)
+            for held in p.claims.values()
+            if held.holder == self.holder
+        )
+        limit = escrow.grants[self.holder].spent + escrow.reserved + undurable + doubted
+        return Settled(root_id, self.holder, limit)
+
+    def settlements(self, lost: Sequence[Record]) -> list[Settled]:
+        """Return the settlements of all root programs, after a takeover."""
+        roots = [p for p in self.ledger.programs.values() if p.escrow is not None]
+        found = (self.settlement(p.program_id, lost) for p in roots if not p.ended)
+        return [settlement for settlement in found if settlement is not None]
+
+    async def abandon(self) -> None:
+        """Cancel every call under way; their outcomes could not be written."""
+        tasks = [live.task for live in self._live.values() if live.task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _tree(self, root_id: str) -> list[Program]:
+        programs = self.ledger.programs.values()
+        return [p for p in programs if self.ledger.root_of(p).program_id == root_id]
+
     def take(self, staged: Ledger) -> None:
         """Take the programs of a slot that was claimed."""
         self.ledger.programs.update(staged.programs)
@@ -288,9 +331,9 @@
         except Refusal as refusal:
             live.finish(refusal)
         except Fenced as exc:
-            live.finish(_ownership_lost(live, exc))
+            live.finish(_ownership_lost(live, exc.peer))
         except asyncio.CancelledError:
-            live.finish(_cancelled(live))
+            live.finish(self._cancelled(live))
             raise
         except Exception as exc:
             log.error('call_failed', program=key[0], seq=key[1], error=repr(exc))
@@ -381,7 +424,6 @@
             used = answer.output_tokens
         finally:
             self._limits.finish(team, max(0, tokens - used))
-        live.touched_backend = True
         runtime.bodies = [*runtime.bodies[-32:], _repeat_key(live.req)]
         return await self._record(program, live, answer)
 
@@ -389,8 +431,8 @@
         """Make the outcome durable before the caller hears of it."""
         req = live.req
         await self._ctx.reached(Step.ANSWER, program.program_id, req.seq)
-        reserved = sum(count_tokens(m.content) for m in req.messages) + req.max_tokens
-        grant = self.spending.grant_ahead(program, live, reserved, answer.cost)
+        need = _expected_need(program, live)
+        grant = self.spending.grant_ahead(program, live, need, answer.cost)
         finished = Finished(program.program_id, req.seq, live.digest, req, answer, grant)
         future = self.journal.append([finished])
         await self._ctx.reached(Step.RECORD, program.program_id, req.seq)
@@ -411,6 +453,12 @@
         self._applied_early.add(id(finished))
         self.ledger.apply(evolve(finished, grant=0), self.holder)
 
+    def _cancelled(self, live: LiveCall) -> Refusal:
+        if self.journal.fenced:
+            return _ownership_lost(live, self.holder)
+        ran = Ran.UNKNOWN if live.touched_backend else Ran.NOT_RUN
+        return Refusal(Reason.PROGRAM_ENDED, 'the program was ended', ran=ran, step=Step.STREAM)
+
     async def _stop_calls(self, program: Program) -> None:
         self.runtime(program.program_id).ending = True
         lives = [c for (pid, _), c in self._live.items() if pid == program.program_id]
@@ -471,6 +519,21 @@
     return record.units if isinstance(record, Granted) else 0
 
 
+def _expected_need(program: Program, live: LiveCall) -> int:
+    """Return the reservation to expect of the next call, in tokens."""
+    reqs = [live.req, *(turn.req for turn in reversed(program.turns))]
+    for req in reqs:
+        if req.kind is CallKind.MODEL:
+            return sum(count_tokens(m.content) for m in req.messages) + req.max_tokens
+    return live.reserved
+
+
+def _expense(record: Record) -> int:
+    if isinstance(record, Finished):
+        return record.answer.cost
+    return record.units if isinstance(record, Spent) else 0
+
+
 def _spec_digest(spec: ProgramSpec) -> str:
     texts = [spec.model, str(spec.budget), str(spec.deadline_s), spec.parent or '']
     return CallReq(0, CallKind.MODEL, [Message('spec', t) for t in texts]).digest()
@@ -480,18 +543,13 @@
     return evolve(req, seq=0).digest()
 
 
-def _ownership_lost(live: LiveCall, exc: Fenced) -> Refusal:
+def _ownership_lost(live: LiveCall, holder: str) -> Refusal:
     ran = Ran.UNKNOWN if live.touched_backend else Ran.NOT_RUN
     return Refusal(
         Reason.OWNERSHIP_LOST,
         'another entry took the program over; ask again',
         ran=ran,
         step=Step.RECORD,
-        peer=exc.peer,
+        peer=holder,
         retry_after_ms=500,
     )
-
-
-def _cancelled(live: LiveCall) -> Refusal:
-    ran = Ran.UNKNOWN if live.touched_backend else Ran.NOT_RUN
-    return Refusal(Reason.PROGRAM_ENDED, 'the program was ended', ran=ran, step=Step.STREAM)
--- a/libs/entry/toucanlead_entry/settings.py
+++ b/libs/entry/toucanlead_entry/settings.py
@@ -46,13 +46,17 @@
 
 @frozen
 class ReplicaSection:
-    """One replica of a model engine."""
+    """One replica of a model engine.
+
+    `vm_address` is its address on the platform's VM list, where that differs.
+    """
 
     name: str
     address: str
     model: str
     zone: str
     region: str
+    vm_address: str = ''
     slots: int = 8
     prefill_tokens_per_s: float = 8000.0
     decode_token_s: float = 0.03
--- a/libs/entry/toucanlead_entry/slots.py
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -60,8 +60,8 @@
         self.owner: Owner | None = None
         self.owned: set[int] = set()
         self.leaving = False
-        self._lease = 0
-        self._member_rev = 0
+        self.lease = 0
+        self._renew_from = 0.0
         self._unseen_since: dict[str, float] = {}
         self.sealed: set[str] = set()
         self.on_new_owner = lambda owner: None
@@ -79,13 +79,17 @@
 
     async def renew(self) -> None:
         """Keep the lease; take a new one when it has lapsed."""
-        if self.owner is None or self.leaving:
+        if self.owner is None or self.leaving or self._ctx.timers.now() < self._renew_from:
             return
-        if await self._ctx.store.keep_alive(self._lease):
+        if await self._ctx.store.keep_alive(self.lease):
             return
         log.warning('lease_lapsed', holder=self.owner.holder)
         await self._announce(self.owner.holder)
 
+    def stop_renewing_until(self, when: float) -> None:
+        """Let the lease lapse for a while, as a pause of the process would."""
+        self._renew_from = when
+
     async def reconcile(self) -> None:
         """Read members and slots; claim what is free, take over from the dead."""
         await self.refresh()
@@ -126,8 +130,8 @@
     async def resign(self) -> None:
         """Give up the member key so that nobody waits for the lease."""
         self.leaving = True
-        if self._lease:
-            await self._ctx.store.revoke(self._lease)
+        if self.lease:
+            await self._ctx.store.revoke(self.lease)
 
     async def _register_once(self) -> None:
         ctx = self._ctx
@@ -152,7 +156,7 @@
     async def _announce(self, holder: str) -> None:
         ctx = self._ctx
         identity = ctx.identity
-        self._lease = await ctx.store.grant_lease(ctx.pacing.lease_ttl_s)
+        self.lease = await ctx.store.grant_lease(ctx.pacing.lease_ttl_s)
         record = MemberRecord(
             identity.entry,
             holder,
@@ -161,7 +165,7 @@
             identity.region,
             ctx.nonce(),
         )
-        await ctx.store.txn([], [Put(member_key(identity.entry), to_json(record), self._lease)])
+        await ctx.store.txn([], [Put(member_key(identity.entry), to_json(record), self.lease)])
 
     async def _claim_free(self) -> None:
         members = self.candidates()
--- a/libs/entry/toucanlead_entry/spending.py
+++ b/libs/entry/toucanlead_entry/spending.py
@@ -68,15 +68,15 @@
         if not escrow.reserve(holder, units):
             raise Refusal(Reason.BUDGET_EXHAUSTED, 'grant used up', step=Step.RESERVE)
 
-    def grant_ahead(self, program: Program, live: LiveCall, reserved: int, cost: int) -> int:
+    def grant_ahead(self, program: Program, live: LiveCall, need: int, cost: int) -> int:
         """Return the grant to write along with an outcome, for the calls that follow."""
         escrow = self._ledger.escrow_of(program)
         root = self._ledger.root_of(program).program_id
         free_after = escrow.free(self._journal.holder) + live.reserved - cost
-        if free_after >= reserved:
+        if free_after >= need:
             return 0
-        ahead = (self._ctx.preset.grant_calls - 1) * reserved
-        grant = self._room(escrow, root, reserved - free_after + ahead)
+        ahead = (self._ctx.preset.grant_calls - 1) * need
+        grant = self._room(escrow, root, need - free_after + ahead)
         self.note_queued(root, grant)
         return grant
 
--- a/libs/entry/toucanlead_entry/tails.py
+++ b/libs/entry/toucanlead_entry/tails.py
@@ -16,7 +16,15 @@
 from toucanlead_core.errors import PeerError, Reason, Refusal, Step
 from toucanlead_core.ids import slot_of_program
 from toucanlead_peer.messages import TailPiece
-from toucanlead_state.records import Adopted, Branched, Finished, Record, Segment
+from toucanlead_state.records import (
+    Adopted,
+    Branched,
+    Finished,
+    Record,
+    Segment,
+    Settled,
+    Unclaimed,
+)
 
 from .context import Context
 from .owner import Owner
@@ -74,7 +82,7 @@
     def keep_lost(self, holder: str, records: list[Record]) -> None:
         """Keep this entry's own records that a takeover cut off."""
         for record in records:
-            if isinstance(record, Finished):
+            if isinstance(record, Finished | Unclaimed | Settled):
                 self._numbers += 1
                 segment = Segment(self._ctx.nonce(), holder, self._numbers, [record])
                 self.keep(TailPiece(holder, self._numbers, to_json(segment)))
@@ -92,6 +100,10 @@
         for record in segment.records:
             if isinstance(record, Finished):
                 await self._take(owner, piece.holder, record)
+            elif isinstance(record, Unclaimed):
+                await self._take_unclaimed(owner, piece.holder, record)
+            elif isinstance(record, Settled) and record.holder == piece.holder:
+                await owner.journal.append([record])
 
     async def _take(self, owner: Owner, holder: str, finished: Finished) -> None:
         program = owner.ledger.programs.get(finished.program_id)
@@ -108,6 +120,14 @@
         await owner.journal.append([record])
         log.info('tail_taken', program=program.program_id, seq=finished.seq, holder=holder)
 
+    async def _take_unclaimed(self, owner: Owner, holder: str, record: Unclaimed) -> None:
+        """Void a claim on its maker's word that the call was never sent."""
+        program = owner.ledger.programs.get(record.program_id)
+        held = program.claims.get(record.seq) if program else None
+        if held is not None and held.holder == holder:
+            await owner.journal.append([record])
+            log.info('claim_voided', program=record.program_id, seq=record.seq)
+
     async def _deliver(self, piece: TailPiece) -> None:
         segment = from_json(piece.segment, Segment)
         slot = slot_of_program(segment.records[0].program_id, self._ctx.identity.slots)
--- a/libs/entry/toucanlead_entry/tool_calls.py
+++ b/libs/entry/toucanlead_entry/tool_calls.py
@@ -129,15 +129,12 @@
         await self._ctx.reached(Step.SEND, program.program_id, live.req.seq)
         service = self._ctx.backends.services[spec.service]
         try:
-            return await asyncio.wait_for(service.call(req), spec.deadline_s)
+            with live.sending():
+                return await asyncio.wait_for(service.call(req), spec.deadline_s)
         except TimeoutError:
-            live.touched_backend = True
             raise OutcomeUnknown(
                 f'no answer in {spec.deadline_s:g} s', step=Step.ANSWER, peer=spec.service
             ) from None
-        except OutcomeUnknown:
-            live.touched_backend = True
-            raise
 
     async def _ask_outcome(self, program: Program, live: LiveCall, spec: ToolSpec) -> str | None:
         service = self._ctx.backends.services[spec.service]
--- a/libs/policy/toucanlead_policy/fleet.py
+++ b/libs/policy/toucanlead_policy/fleet.py
@@ -19,6 +19,7 @@
     slots: int = 8
     prefill_tokens_per_s: float = 8000.0
     decode_token_s: float = 0.03
+    address: str = ''
     leaving: bool = False
     own: int = 0
     own_tokens: float = 0.0
--- a/libs/standins/toucanlead_standins/engine_model.py
+++ b/libs/standins/toucanlead_standins/engine_model.py
@@ -142,6 +142,16 @@
             self._order = order
         return self._order
 
+    @property
+    def running(self) -> int:
+        """Return the number of requests in a slot."""
+        return self._running
+
+    def forget(self) -> None:
+        """Lose all memory, as a restart does."""
+        self._cache.clear()
+        self._holds.clear()
+
     def held_names(self) -> list[str]:
         """Return the callers' names of programs with cached or pinned tokens."""
         names = []
--- /dev/null
+++ b/libs/standins/toucanlead_standins/links.py
@@ -0,0 +1,266 @@
+"""Clients that reach stand-ins over the fake network, for tests in virtual time."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import TypeVar
+
+from toucanlead_backends.engine import (
+    CacheEvent,
+    EngineOrder,
+    GenerateEnd,
+    GenerateReq,
+    LoadReport,
+    ModelEngine,
+)
+from toucanlead_backends.tool import ToolOutcome, ToolReq, ToolService
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+from toucanlead_core.messages import Chunk
+from toucanlead_peer.messages import ForwardReq, Frame, ProbeReply, ProbeReq, TailPiece
+from toucanlead_peer.transport import PeerHandler, PeerTransport
+from toucanlead_platform.kv import (
+    Compare,
+    Delete,
+    KeyValueStore,
+    KvEntry,
+    Put,
+    TxnResult,
+    WatchEvent,
+)
+
+from .kv_model import KvModel
+from .network import REQUEST_TIMEOUT_S, Gate, Network
+
+T = TypeVar('T')
+TEXT_OVERHEAD_BYTES = 300
+
+
+class LinkedStore(KeyValueStore):
+    """The key-value service across the network."""
+
+    def __init__(self, network: Network, src: Gate, dst: Gate, model: KvModel) -> None:
+        """Take both ends."""
+        self._network = network
+        self._src = src
+        self._dst = dst
+        self._model = model
+
+    async def get(self, key: str) -> KvEntry | None:
+        """Read a key."""
+        return await self._ask(lambda: self._model.get(key), writes=False)
+
+    async def scan(self, prefix: str) -> list[KvEntry]:
+        """Read a prefix."""
+        return await self._ask(lambda: self._model.scan(prefix), writes=False)
+
+    async def txn(self, compares: list[Compare], ops: list[Put | Delete]) -> TxnResult:
+        """Run a transaction."""
+        return await self._ask(lambda: self._model.txn(compares, ops), writes=True)
+
+    async def grant_lease(self, ttl_s: int) -> int:
+        """Create a lease."""
+        return await self._ask(lambda: self._model.grant_lease(ttl_s), writes=True)
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease."""
+        return await self._ask(lambda: self._model.keep_alive(lease), writes=True)
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease."""
+        await self._ask(lambda: self._model.revoke(lease), writes=True)
+
+    async def watch(self, prefix: str, from_rev: int) -> AsyncIterator[WatchEvent]:
+        """Follow a prefix."""
+        await self._network.send(self._src, self._dst)
+        token = self._network.connect()
+        revision = from_rev
+        while True:
+            if self._model.down:
+                raise OutcomeUnknown('watch cut', peer=self._dst.name)
+            for event in self._model.events_after(prefix, revision):
+                await self._network.still_open(token, self._src, self._dst)
+                revision = event.mod_rev + 1
+                yield event
+            try:
+                await asyncio.wait_for(self._model.changed(), 1.0)
+            except TimeoutError:
+                continue
+
+    async def _ask(self, work: Callable[[], T], *, writes: bool) -> T:
+        await self._network.send(self._src, self._dst)
+        model = self._model
+        if model.down:
+            await asyncio.sleep(REQUEST_TIMEOUT_S)
+            raise OutcomeUnknown('no answer', peer=self._dst.name)
+        await asyncio.sleep(min(model.delay_s, REQUEST_TIMEOUT_S))
+        result = work()
+        if writes and model.lose_answers > 0:
+            model.lose_answers -= 1
+            await asyncio.sleep(REQUEST_TIMEOUT_S)
+            raise OutcomeUnknown('answer lost', peer=self._dst.name)
+        if model.delay_s > REQUEST_TIMEOUT_S:
+            raise OutcomeUnknown('too slow', peer=self._dst.name)
+        await self._network.reply(self._dst, self._src)
+        return result
+
+
+class LinkedEngine(ModelEngine):
+    """A replica across the network."""
+
+    def __init__(self, network: Network, src: Gate, dst: Gate, model: ModelEngine) -> None:
+        """Take both ends."""
+        self._network = network
+        self._src = src
+        self._dst = dst
+        self._model = model
+
+    async def generate(self, req: GenerateReq) -> AsyncIterator[Chunk | GenerateEnd]:
+        """Stream an answer; a cut or silenced connection hangs."""
+        size = sum(len(m.content) for m in req.messages) + TEXT_OVERHEAD_BYTES
+        await self._network.send(self._src, self._dst, size)
+        token = self._network.connect()
+        source = self._model.generate(req)
+        try:
+            async for item in source:
+                await self._network.still_open(token, self._dst, self._src)
+                yield item
+        finally:
+            await source.aclose()
+
+    async def load(self) -> LoadReport:
+        """Read the load."""
+        return await self._ask(self._model.load)
+
+    async def events(self, since: int) -> list[CacheEvent]:
+        """Read events."""
+        return await self._ask(lambda: self._model.events(since))
+
+    async def held(self) -> list[str]:
+        """Read what is held."""
+        return await self._ask(self._model.held)
+
+    async def hold(self, program_id: str) -> None:
+        """Pin."""
+        await self._ask(lambda: self._model.hold(program_id))
+
+    async def release(self, program_id: str) -> None:
+        """Free."""
+        await self._ask(lambda: self._model.release(program_id))
+
+    async def export_cache(self, program_id: str) -> str:
+        """Export."""
+        return await self._ask(lambda: self._model.export_cache(program_id))
+
+    async def import_cache(self, program_id: str, handle: str) -> None:
+        """Import."""
+        await self._ask(lambda: self._model.import_cache(program_id, handle))
+
+    async def order(self, order: EngineOrder) -> EngineOrder:
+        """Order."""
+        return await self._ask(lambda: self._model.order(order))
+
+    async def _ask(self, work: Callable[[], Awaitable[T]]) -> T:
+        return await across(self._network, self._src, self._dst, work)
+
+
+class LinkedTool(ToolService):
+    """A tool service across the network."""
+
+    def __init__(self, network: Network, src: Gate, dst: Gate, model: ToolService) -> None:
+        """Take both ends."""
+        self._network = network
+        self._src = src
+        self._dst = dst
+        self._model = model
+
+    async def call(self, req: ToolReq) -> str:
+        """Run a tool; what has been sent runs even if the sender dies."""
+        await self._network.send(self._src, self._dst)
+        running = asyncio.ensure_future(self._model.call(req))
+        running.add_done_callback(_retrieve)
+        content = await asyncio.shield(running)
+        await self._network.reply(self._dst, self._src)
+        return content
+
+    async def outcome(self, idempotency_key: str) -> ToolOutcome:
+        """Ask for an outcome."""
+        return await across(
+            self._network, self._src, self._dst, lambda: self._model.outcome(idempotency_key)
+        )
+
+
+class LinkedPeers(PeerTransport):
+    """Other entries across the network, by address."""
+
+    def __init__(
+        self, network: Network, src: Gate, entries: dict[str, tuple[Gate, PeerHandler]]
+    ) -> None:
+        """Take the directory of all entries, which may change."""
+        self._network = network
+        self._src = src
+        self._entries = entries
+
+    async def forward(self, address: str, req: ForwardReq) -> AsyncIterator[Frame]:
+        """Send a request to an owner."""
+        gate, handler = self._peer(address)
+        await self._network.send(self._src, gate, len(req.body) + TEXT_OVERHEAD_BYTES)
+        token = self._network.connect()
+        source = handler.forward(req)
+        try:
+            while True:
+                frame = await alive(gate, anext(source, None))
+                await self._network.still_open(token, gate, self._src)
+                if frame is None:
+                    return
+                yield frame
+        finally:
+            await source.aclose()
+
+    async def probe(self, address: str, req: ProbeReq) -> ProbeReply:
+        """Probe an entry."""
+        gate, handler = self._peer(address)
+        return await across(self._network, self._src, gate, lambda: handler.probe(req))
+
+    async def keep_tail(self, address: str, piece: TailPiece) -> None:
+        """Copy a piece."""
+        gate, handler = self._peer(address)
+        await across(self._network, self._src, gate, lambda: handler.keep_tail(piece))
+
+    async def deliver_tail(self, address: str, piece: TailPiece) -> None:
+        """Deliver a piece."""
+        gate, handler = self._peer(address)
+        await across(self._network, self._src, gate, lambda: handler.deliver_tail(piece))
+
+    def _peer(self, address: str) -> tuple[Gate, PeerHandler]:
+        found = self._entries.get(address)
+        if found is None:
+            raise NotSent('connection refused', peer=address)
+        return found
+
+
+async def across(network: Network, src: Gate, dst: Gate, work: Callable[[], Awaitable[T]]) -> T:
+    """Do work at the far end of a request and its answer."""
+    await network.send(src, dst)
+    result = await alive(dst, work())
+    await network.reply(dst, src)
+    return result
+
+
+async def alive(gate: Gate, work: Awaitable[T]) -> T:
+    """Await work of a process; OutcomeUnknown when the process dies first."""
+    task = asyncio.ensure_future(work)
+    death = asyncio.ensure_future(gate.died.wait())
+    try:
+        await asyncio.wait([task, death], return_when=asyncio.FIRST_COMPLETED)
+        if not gate.alive:
+            raise OutcomeUnknown('connection reset', peer=gate.name)
+        return task.result()
+    finally:
+        death.cancel()
+        if not task.done():
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+def _retrieve(future: asyncio.Future) -> None:
+    if not future.cancelled():
+        future.exception()
--- a/libs/standins/toucanlead_standins/network.py
+++ b/libs/standins/toucanlead_standins/network.py
@@ -25,12 +25,19 @@
     name: str
     place: Place
     alive: bool = True
+    died: asyncio.Event = field(factory=asyncio.Event)
     _running: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
         """Start running."""
         self._running.set()
 
+    def die(self) -> None:
+        """End the process; a paused one dies too."""
+        self.alive = False
+        self.died.set()
+        self._running.set()
+
     def pause(self) -> None:
         """Stop the process from sending and receiving."""
         self._running.clear()
@@ -53,8 +60,8 @@
     link_bytes_per_s: float = 15e6 / 8
     cut_zones: set[frozenset[str]] = field(factory=set)
     cut_regions: bool = False
-    silent: set[tuple[str, str]] = field(factory=set)
     link_bytes: int = 0
+    _silences: int = 0
 
     def latency_s(self, src: Place, dst: Place) -> float:
         """Return the one-way latency."""
@@ -78,7 +85,20 @@
         """Mend all cuts."""
         self.cut_zones.clear()
         self.cut_regions = False
-        self.silent.clear()
+
+    def silence(self) -> None:
+        """Let every open connection go silent for good; new ones work."""
+        self._silences += 1
+
+    def connect(self) -> int:
+        """Return a token for a new connection."""
+        return self._silences
+
+    async def still_open(self, token: int, src: Gate, dst: Gate) -> None:
+        """Pass while the connection works; hang for good when it is silent."""
+        await dst.passable()
+        if token != self._silences or not self.reachable(src, dst):
+            await asyncio.Event().wait()
 
     async def send(self, src: Gate, dst: Gate, size_bytes: int = 200) -> None:
         """Carry a request; NotSent when nothing can be reached."""
--- a/libs/state/toucanlead_state/budget.py
+++ b/libs/state/toucanlead_state/budget.py
@@ -63,13 +63,11 @@
         """Apply a durable expense of a holder."""
         self.grants.setdefault(holder, Grant()).spent += units
 
-    def settle(self, holder: str, spent: int) -> None:
-        """Close a former holder's grants at its true expense."""
+    def settle(self, holder: str, limit: int) -> None:
+        """Close a former holder's grants at the most that it can have spent."""
         grant = self.grants.get(holder)
-        if grant is None:
-            return
-        grant.spent = max(grant.spent, spent)
-        grant.granted = max(grant.spent, 0)
+        if grant is not None:
+            grant.granted = max(grant.spent, min(limit, grant.granted))
 
 
 def next_grant(escrow: Escrow, holder: str, wanted: int, ahead: int) -> int:
--- a/libs/state/toucanlead_state/ledger.py
+++ b/libs/state/toucanlead_state/ledger.py
@@ -173,7 +173,7 @@
             program.replicas.add(record.replica)
 
     def _apply_settled(self, program: Program, record: Settled, holder: str) -> None:
-        self.escrow_of(program).settle(record.holder, record.spent)
+        self.escrow_of(program).settle(record.holder, record.limit)
 
     def _apply_branched(self, program: Program, record: Branched, holder: str) -> None:
         program.branches.append(record.finished)
--- a/libs/state/toucanlead_state/records.py
+++ b/libs/state/toucanlead_state/records.py
@@ -73,11 +73,11 @@
 
 @frozen
 class Settled:
-    """A former holder's open grants are closed at what it really spent."""
+    """A former holder's open grants are closed at the most it can have spent."""
 
     program_id: str
     holder: str
-    spent: int
+    limit: int
 
 
 @frozen
--- /dev/null
+++ b/libs/trials/toucanlead_trials/fault_matrix.py
@@ -0,0 +1,249 @@
+"""Fault matrix: every fault at every step of a call, singly, in pairs, and twice."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Iterable
+
+from attrs import define, field, frozen
+
+from toucanlead_core.errors import Step
+from toucanlead_core.messages import CallKind, Message
+from toucanlead_standins.recorder import Violation
+from toucanlead_standins.virtual_loop import run_virtual
+
+from .caller import Replayer
+from .fault_kinds import FAULTS
+from .trace import TraceCall, TraceProgram
+from .virtual_site import EntryObserver, VirtualPort, VirtualSite
+
+VICTIM = 'victim'
+EFFECT_SEQ = 2
+MODEL_SEQ = 3
+RELEASE_SEQ = 0
+AGAIN_AFTER_S = 3.0
+RELEASE_WAIT_S = 30.0
+SETTLE_S = 12.0
+
+TARGETS = (
+    (Step.ACCEPT, EFFECT_SEQ),
+    (Step.ACCEPT, MODEL_SEQ),
+    (Step.ORDER, EFFECT_SEQ),
+    (Step.ORDER, MODEL_SEQ),
+    (Step.RESERVE, EFFECT_SEQ),
+    (Step.RESERVE, MODEL_SEQ),
+    (Step.CLAIM, EFFECT_SEQ),
+    (Step.ROUTE, MODEL_SEQ),
+    (Step.SEND, EFFECT_SEQ),
+    (Step.SEND, MODEL_SEQ),
+    (Step.STREAM, MODEL_SEQ),
+    (Step.ANSWER, EFFECT_SEQ),
+    (Step.ANSWER, MODEL_SEQ),
+    (Step.RECORD, EFFECT_SEQ),
+    (Step.RECORD, MODEL_SEQ),
+    (Step.RELEASE, RELEASE_SEQ),
+)
+
+
+@frozen
+class Case:
+    """Faults brought about at one step of the victim's call."""
+
+    faults: tuple[str, ...]
+    step: Step
+    seq: int
+    seed: int
+    twice: bool = False
+    budget: int = 600
+
+    @property
+    def label(self) -> str:
+        """Return a short name."""
+        again = ' twice' if self.twice else ''
+        return f'{"+".join(self.faults)}@{self.step.value}/{self.seq}{again} seed {self.seed}'
+
+
+@frozen
+class CaseResult:
+    """What one case showed."""
+
+    case: Case
+    fired: int
+    violations: list[Violation]
+    calls: int
+    answered: int
+    unexpected: list[str]
+
+
+@define
+class _Trigger(EntryObserver):
+    """Brings the faults about when the victim reaches the step."""
+
+    case: Case
+    site: VirtualSite | None = None
+    victim_id: str = ''
+    fired: int = 0
+    fired_at: float = field(default=-1e9)
+
+    async def reached(self, step: Step, program_id: str, seq: int) -> None:
+        case = self.case
+        if program_id != self.victim_id or step is not case.step:
+            return
+        if case.seq not in (seq, RELEASE_SEQ) or not self._due():
+            return
+        self.fired += 1
+        self.fired_at = asyncio.get_running_loop().time()
+        entry = self.entry_name
+        ended = [FAULTS[name].begin(self.site, entry) for name in case.faults]
+        if any(ended):
+            await asyncio.Event().wait()
+        # The fault is in force before the call goes on.
+        await self.site.entries[entry].gate.passable()
+
+    def _due(self) -> bool:
+        limit = 2 if self.case.twice else 1
+        now = asyncio.get_running_loop().time()
+        return self.fired < limit and now >= self.fired_at + AGAIN_AFTER_S
+
+
+def run_case(case: Case) -> CaseResult:
+    """Run one case in virtual time."""
+    return run_virtual(_run_case(case))
+
+
+def single_cases(seed: int) -> list[Case]:
+    """Return every fault at every step."""
+    return [Case((f,), step, seq, seed) for f in FAULTS for step, seq in TARGETS]
+
+
+def repeated_cases(seed: int) -> list[Case]:
+    """Return every fault at every step, twice."""
+    return [Case((f,), step, seq, seed, True) for f in FAULTS for step, seq in TARGETS]
+
+
+def pair_cases(seed: int) -> list[Case]:
+    """Return every pair of faults that can meet, at every step."""
+    pairs = itertools.combinations(FAULTS, 2)
+    return [Case(pair, step, seq, seed) for pair in pairs for step, seq in TARGETS]
+
+
+def default_cases(seed: int, repeated: int, pairs: int) -> list[Case]:
+    """Return all single cases and a fixed sample of the others."""
+    rng = random.Random(seed)
+    cases = single_cases(seed)
+    cases += rng.sample(repeated_cases(seed), repeated)
+    cases += rng.sample(pair_cases(seed), pairs)
+    return cases
+
+
+def run_cases(cases: Iterable[Case], say: Callable[[str], None]) -> list[CaseResult]:
+    """Run cases, telling of each that failed."""
+    results = []
+    for number, case in enumerate(cases, 1):
+        result = run_case(case)
+        results.append(result)
+        for violation in result.violations:
+            say(f'{case.label}: {violation.invariant.value} {violation.detail}')
+        if number % 100 == 0:
+            say(f'{number} cases')
+    return results
+
+
+def matrix_document(results: list[CaseResult]) -> dict:
+    """Return the report that goes to build/faults.json."""
+    return {
+        'faults': sorted(FAULTS),
+        'steps': [step.value for step in Step],
+        'cases': len(results),
+        'fired': sum(1 for r in results if r.fired),
+        'failed': [
+            {
+                'fault': '+'.join(r.case.faults) + ('+again' if r.case.twice else ''),
+                'step': r.case.step.value,
+                'seq': r.case.seq,
+                'seed': r.case.seed,
+                'invariant': v.invariant.value,
+                'detail': v.detail,
+            }
+            for r in results
+            for v in r.violations
+        ],
+        'served': served_shares(results),
+        'served_minimum': {name: fault.minimum for name, fault in FAULTS.items()},
+    }
+
+
+def served_shares(results: list[CaseResult]) -> dict[str, float]:
+    """Return by fault the share of calls answered in its single cases."""
+    shares = {}
+    for name in FAULTS:
+        mine = [r for r in results if r.case.faults == (name,) and not r.case.twice]
+        calls = sum(r.calls for r in mine)
+        if calls:
+            shares[name] = round(sum(r.answered for r in mine) / calls, 4)
+    return shares
+
+
+def under_served(shares: dict[str, float]) -> list[str]:
+    """Return the faults under which too little was served."""
+    return [name for name, share in shares.items() if share < FAULTS[name].minimum]
+
+
+async def _run_case(case: Case) -> CaseResult:
+    trigger = _Trigger(case)
+    site = VirtualSite(case.seed, trigger)
+    trigger.site = site
+    await site.start()
+    port = VirtualPort(site)
+    replayer = Replayer(port, site.recorder, 1.0)
+    programs = [victim_program(case.budget), *bystanders()]
+    trigger.victim_id = port.program_id(programs[0])
+    try:
+        await replayer.play(programs)
+        await _until_released(site)
+        site.recorder.memory_held(site.held_programs())
+    finally:
+        await site.stop()
+    answered = len(replayer.report.turn_latencies_s)
+    calls = sum(len(p.calls) for p in programs)
+    return CaseResult(
+        case,
+        trigger.fired,
+        site.recorder.violations(),
+        calls,
+        answered,
+        replayer.report.unexpected,
+    )
+
+
+def victim_program(budget: int) -> TraceProgram:
+    """Return the program whose call the fault meets."""
+    return _program(VICTIM, 0.0, ['model', 'book', 'model', 'charge', 'model'], budget)
+
+
+def bystanders() -> list[TraceProgram]:
+    """Return programs that run beside it."""
+    return [
+        _program('beside1', 0.1, ['model', 'order', 'model', 'model']),
+        _program('beside2', 0.2, ['model', 'parts_lookup', 'model', 'book']),
+    ]
+
+
+def _program(name: str, start_s: float, kinds: list[str], budget: int = 600) -> TraceProgram:
+    calls = []
+    for seq, kind in enumerate(kinds, 1):
+        if kind == 'model':
+            text = f'#{name}/{seq}~12 the flame is yellow'
+            calls.append(TraceCall(CallKind.MODEL, 0.3, [Message('user', text)], 24, 12))
+        else:
+            args = {'program': name, 'n': seq}
+            calls.append(TraceCall(CallKind.TOOL, 0.3, tool=kind, args=args))
+    return TraceProgram(name, 'flamaviva-0', 'flama-llm', start_s, 300.0, calls, budget)
+
+
+async def _until_released(site: VirtualSite) -> None:
+    """Let faults heal, then give releases and the sweep their time."""
+    await asyncio.sleep(SETTLE_S)
+    deadline = asyncio.get_running_loop().time() + RELEASE_WAIT_S
+    while site.held_programs() and asyncio.get_running_loop().time() < deadline:
+        await asyncio.sleep(0.5)
--- a/libs/trials/toucanlead_trials/site.py
+++ b/libs/trials/toucanlead_trials/site.py
@@ -193,6 +193,7 @@
             self.shape.model,
             zone,
             self.plan.home_region,
+            self._addresses[engine.name],
         )
 
     async def _start_platform(self) -> None:
--- /dev/null
+++ b/libs/trials/toucanlead_trials/virtual_site.py
@@ -0,0 +1,330 @@
+"""A site in virtual time: entries, stand-ins and the fake network between them."""
+
+import asyncio
+import random
+
+import orjson
+from attrs import define, field
+
+from toucanlead_backends.engine import ModelEngine
+from toucanlead_core.codec import to_json
+from toucanlead_core.errors import NotSent, OutcomeUnknown, PeerError, Ran, Refusal
+from toucanlead_core.ids import child_id_for, program_id_for
+from toucanlead_core.messages import CallKind, Message, ProgramSpec
+from toucanlead_core.timers import LoopTimers
+from toucanlead_entry.context import (
+    Backends,
+    Context,
+    Identity,
+    NoObserver,
+    Pacing,
+    StepObserver,
+    ToolSpec,
+)
+from toucanlead_entry.entry import Entry
+from toucanlead_entry.problems import problem_document
+from toucanlead_peer.messages import ForwardReq, Operation, Result
+from toucanlead_platform.vmlist import Vm, VmList, VmState
+from toucanlead_policy.beliefs import CacheBeliefs
+from toucanlead_policy.fleet import Fleet, ReplicaState
+from toucanlead_policy.preset import Preset
+from toucanlead_policy.routing import ExpectedCostRouter
+from toucanlead_standins.engine_model import EngineModel, EngineRates
+from toucanlead_standins.kv_model import KvModel
+from toucanlead_standins.links import (
+    LinkedEngine,
+    LinkedPeers,
+    LinkedStore,
+    LinkedTool,
+    alive,
+)
+from toucanlead_standins.network import Gate, Network, Place
+from toucanlead_standins.recorder import Recorder
+from toucanlead_standins.tool_model import EFFECT_TOOLS, ToolModel
+
+from .caller import CallerPort, Reply
+from .trace import TraceCall, TraceProgram
+from .workload import FLAMAVIVA, Shape
+
+HOME = 'centro'
+FAR = 'norte'
+ZONES = ('centro-a', 'centro-b', 'norte-a', 'centro-platform')
+SLOTS = 6
+TOOL_DEADLINE_S = 2.0
+REQUEST_PATIENCE_S = 25.0
+LOOP_CALLS = 100
+ENTRY_PLACES = {
+    'centro-1': Place(HOME, 'centro-a'),
+    'centro-2': Place(HOME, 'centro-b'),
+    'norte-1': Place(FAR, 'norte-a'),
+}
+
+
+class _TruthfulList(VmList):
+    """The platform's list as one entry reads it, late."""
+
+    def __init__(self, site: 'VirtualSite', gate: Gate) -> None:
+        self._site = site
+        self._gate = gate
+
+    async def read(self) -> list[Vm]:
+        await self._site.network.send(self._gate, self._site.kv_gate)
+        return [
+            Vm(name, 'centro-a', VmState.LEAVING if name in self._site.leaving else VmState.LIVE)
+            for name in self._site.engines
+        ]
+
+
+@define
+class VirtualEntry:
+    """One running entry and its gate."""
+
+    gate: Gate
+    entry: Entry
+
+
+@define
+class VirtualSite:
+    """Everything of one case."""
+
+    seed: int = 1
+    observer: StepObserver = field(factory=NoObserver)
+    preset: Preset = field(factory=lambda: Preset(progress_timeout_s=2.0, gap_wait_s=3.0))
+    shape: Shape = FLAMAVIVA
+    network: Network = field(factory=Network)
+    recorder: Recorder = field(factory=Recorder)
+    engines: dict[str, EngineModel] = field(factory=dict)
+    engine_gates: dict[str, Gate] = field(factory=dict)
+    entries: dict[str, VirtualEntry] = field(factory=dict)
+    leaving: set[str] = field(factory=set)
+    places: dict[str, Place] = field(factory=lambda: dict(ENTRY_PLACES))
+    pacing: Pacing = field(factory=lambda: Pacing(forward_wait_s=12.0))
+    kv: KvModel = field(init=False)
+    tools: ToolModel = field(init=False)
+    kv_gate: Gate = field(init=False)
+    tool_gate: Gate = field(init=False)
+    caller_gate: Gate = field(init=False)
+    _directory: dict = field(factory=dict)
+    _tasks: set[asyncio.Task] = field(factory=set)
+    _starts: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Build the stand-ins."""
+        self.kv = KvModel(asyncio.get_running_loop().time)
+        self.kv_gate = Gate('kv', Place(HOME, 'centro-platform'))
+        self.tool_gate = Gate('tools', Place(HOME, 'centro-platform'))
+        self.caller_gate = Gate('callers', Place(FAR, 'norte-callers'))
+        prices = dict.fromkeys([*EFFECT_TOOLS, self.shape.lookup, self.shape.app_tool], 1)
+        self.tools = ToolModel('tools', self.recorder, prices=prices)
+        for number, zone in enumerate(('centro-a', 'centro-b', 'centro-b')):
+            name = f'{self.shape.model}-{number}'
+            self.engines[name] = EngineModel(name, self.recorder, EngineRates())
+            self.engine_gates[name] = Gate(name, Place(HOME, zone))
+
+    async def start(self) -> None:
+        """Start all entries, and wait until every slot is owned."""
+        await asyncio.gather(*(self.start_entry(name) for name in self.places))
+        async with asyncio.timeout(60):
+            while len(self.kv.scan('slots/')) < SLOTS:
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(1.0)
+
+    async def start_entry(self, name: str) -> None:
+        """Start an entry, as a new process."""
+        gate = Gate(name, self.places[name])
+        entry = Entry(self._context(name, gate), _TruthfulList(self, gate))
+        self.entries[name] = VirtualEntry(gate, entry)
+        self._directory[name] = (gate, entry)
+        try:
+            await entry.start()
+        except PeerError:
+            return
+
+    def kill(self, name: str) -> None:
+        """End an entry at once."""
+        running = self.entries.get(name)
+        if running is not None and running.gate.alive:
+            running.gate.die()
+            self.spawn(running.entry.kill())
+
+    def restart_later(self, name: str, delay_s: float) -> None:
+        """Start the entry again after a while, as the platform would."""
+
+        async def restart() -> None:
+            await asyncio.sleep(delay_s)
+            if not self.entries[name].gate.alive:
+                await self.start_entry(name)
+
+        self.spawn(restart())
+
+    def later(self, delay_s: float, action) -> None:
+        """Do something after a while."""
+
+        async def act() -> None:
+            await asyncio.sleep(delay_s)
+            action()
+
+        self.spawn(act())
+
+    def spawn(self, work) -> None:
+        """Run work beside the case."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for running in self.entries.values():
+            running.gate.die()
+            await running.entry.kill()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def held_programs(self) -> list[str]:
+        """Return names of programs whose memory any engine holds."""
+        return [name for engine in self.engines.values() for name in engine.held_names()]
+
+    def _context(self, name: str, gate: Gate) -> Context:
+        self._starts += 1
+        rng = random.Random(f'{self.seed}/{name}/{self._starts}')
+        beliefs = CacheBeliefs()
+        return Context(
+            identity=Identity(name, name, gate.place.zone, gate.place.region, SLOTS),
+            store=LinkedStore(self.network, gate, self.kv_gate, self.kv),
+            peers=LinkedPeers(self.network, gate, self._directory),
+            backends=self._backends(gate),
+            timers=LoopTimers(rng),
+            rng=rng,
+            router=ExpectedCostRouter(self.preset, beliefs, rng),
+            beliefs=beliefs,
+            fleet=self._fleet(),
+            preset=self.preset,
+            pacing=self.pacing,
+            observer=_Observing(self, name),
+        )
+
+    def _backends(self, gate: Gate) -> Backends:
+        engines: dict[str, ModelEngine] = {
+            name: LinkedEngine(self.network, gate, self.engine_gates[name], model)
+            for name, model in self.engines.items()
+        }
+        tools = {
+            tool: ToolSpec(tool, 'tools', tool not in EFFECT_TOOLS, 1, TOOL_DEADLINE_S)
+            for tool in [*sorted(EFFECT_TOOLS), self.shape.lookup, self.shape.app_tool]
+        }
+        service = LinkedTool(self.network, gate, self.tool_gate, self.tools)
+        return Backends(engines, {'tools': service}, tools)
+
+    def _fleet(self) -> Fleet:
+        fleet = Fleet()
+        for name, gate in self.engine_gates.items():
+            place = gate.place
+            fleet.add(ReplicaState(name, self.shape.model, place.zone, place.region, address=name))
+        return fleet
+
+
+class EntryObserver(StepObserver):
+    """An observer that also learns which entry reached the step."""
+
+    entry_name = ''
+
+
+@define
+class _Observing(StepObserver):
+    site: VirtualSite
+    name: str
+
+    async def reached(self, step, program_id, seq) -> None:
+        observer = self.site.observer
+        if isinstance(observer, EntryObserver):
+            observer.entry_name = self.name
+        await observer.reached(step, program_id, seq)
+
+
+class VirtualPort(CallerPort):
+    """Callers that reach entries over the fake network, through a balancer."""
+
+    def __init__(self, site: VirtualSite) -> None:
+        """Take the site."""
+        self._site = site
+        self._turn = 0
+
+    async def open(self, program: TraceProgram, parent_id: str | None) -> Reply:
+        """Open a program."""
+        spec = ProgramSpec(
+            program.model, program.budget or 1, program.name, program.deadline_s, parent_id
+        )
+        program_id = self.program_id(program)
+        if parent_id is not None:
+            program_id = child_id_for(parent_id, spec.key)
+        return await self._request(
+            ForwardReq(Operation.OPEN, program.team, program_id, body=to_json(spec))
+        )
+
+    def program_id(self, program: TraceProgram) -> str:
+        """Return the id that a root program gets."""
+        return program_id_for(program.team, program.name, SLOTS)
+
+    async def loop(self) -> None:
+        """Play a program that repeats one call until it is refused."""
+        program = TraceProgram('loop', 'loops', self._site.shape.model, 0.0, 60.0, [], 100_000)
+        opened = await self.open(program, None)
+        if opened.refused:
+            return
+        call = TraceCall(CallKind.MODEL, 0.0, [Message('user', 'again')], 8, 1)
+        for seq in range(1, LOOP_CALLS):
+            reply = await self.call(program.team, opened.document['program_id'], seq, call)
+            if reply.refused:
+                return
+
+    async def call(self, team: str, program_id: str, seq: int, call: TraceCall) -> Reply:
+        """Make a call."""
+        body = to_json(call.request(seq))
+        return await self._request(ForwardReq(Operation.CALL, team, program_id, seq, body))
+
+    async def fetch(self, team: str, program_id: str, seq: int) -> Reply:
+        """Fetch an answer."""
+        return await self._request(ForwardReq(Operation.FETCH, team, program_id, seq))
+
+    async def end(self, team: str, program_id: str) -> Reply:
+        """End a program."""
+        return await self._request(ForwardReq(Operation.END, team, program_id))
+
+    async def _request(self, req: ForwardReq) -> Reply:
+        running = await self._connect()
+        if running is None:
+            return Reply(599, {'ran': Ran.NOT_RUN.value, 'reason': 'no entry reached'})
+        try:
+            async with asyncio.timeout(REQUEST_PATIENCE_S):
+                return await alive(running.gate, self._answer(running, req))
+        except (OutcomeUnknown, TimeoutError):
+            return Reply(599, {'ran': Ran.UNKNOWN.value, 'reason': 'connection lost'})
+
+    async def _connect(self) -> VirtualEntry | None:
+        site = self._site
+        names = sorted(site.entries)
+        self._turn += 1
+        for shift in range(len(names)):
+            running = site.entries[names[(self._turn + shift) % len(names)]]
+            try:
+                if running.entry.ready:
+                    await site.network.send(site.caller_gate, running.gate)
+                    return running
+            except (NotSent, OutcomeUnknown):
+                continue
+        return None
+
+    async def _answer(self, running: VirtualEntry, req: ForwardReq) -> Reply:
+        site = self._site
+        token = site.network.connect()
+        try:
+            async for frame in running.entry.gateway.request(req):
+                await site.network.still_open(token, running.gate, site.caller_gate)
+                if isinstance(frame, Result):
+                    return Reply(200, orjson.loads(frame.body))
+        except Refusal as refusal:
+            await site.network.still_open(token, running.gate, site.caller_gate)
+            document = problem_document(refusal)
+            return Reply(int(document['status']), document)
+        return Reply(599, {'ran': Ran.UNKNOWN.value, 'reason': 'no result'})
