Fault matrix: pairs at different steps, broken variants, virtual clock that cannot spin

Cause: no-fence, no-read-back and no-escrow variants passed the matrix unseen: callers were more patient than a pause, and a second fault could only come at the same step. Found besides: slots taken over from a holder that had not been sealed (view older than the record) lost an answered call; members read before slots made a new entry look dead; the stand-in service deleted a key with its former lease.

--- a/libs/cli/toucanlead/commands.py
+++ b/libs/cli/toucanlead/commands.py
@@ -8,6 +8,14 @@
 from toucanlead_entry.daemon import Daemon, run_until
 from toucanlead_entry.settings import load_settings
 from toucanlead_trials.demo import demo_document, run_demo
+from toucanlead_trials.fault_kinds import FAULTS
+from toucanlead_trials.fault_matrix import (
+    default_cases,
+    full_cases,
+    matrix_document,
+    run_cases,
+    under_served,
+)
 from toucanlead_trials.report import table, write_json
 
 from .environment import Environment
@@ -55,6 +63,24 @@
         broken = any(violations.values()) or document['completed'] < document['programs']
         return ExitStatus.VIOLATION if broken else ExitStatus.SUCCESS
 
+    def faults(self, seed: int, repeated: int, pairs: int, full: bool) -> ExitStatus:
+        """Run the fault matrix."""
+        env = self._env
+        configure_logs(env.stderr, 'critical')
+        cases = full_cases(seed) if full else default_cases(seed, repeated, pairs)
+        results = run_cases(cases, env.warn)
+        document = matrix_document(results)
+        write_json(env.build / 'faults.json', document)
+        served = document['served']
+        rows = [[name, share, FAULTS[name].minimum] for name, share in sorted(served.items())]
+        env.say(table(['fault', 'served', 'minimum'], rows))
+        env.say(f'cases={len(results)} failed={len(document["failed"])}')
+        poor = under_served(served)
+        if poor:
+            env.say('too little served: ' + ' '.join(poor))
+        broken = poor or document['failed']
+        return ExitStatus.VIOLATION if broken else ExitStatus.SUCCESS
+
     def entry(self, config: str, log_level: str) -> ExitStatus:
         """Run an entry."""
         settings = load_settings(Path(config))
--- a/libs/cli/toucanlead/definition.py
+++ b/libs/cli/toucanlead/definition.py
@@ -40,4 +40,19 @@
         """
         return commands.check_config(file)
 
-    return {'demo': demo, 'entry': entry, 'check-config': check_config}
+    def faults(
+        *, seed: int = 1, repeated: int = 50, pairs: int = 50, full: bool = False
+    ) -> ExitStatus:
+        """Bring about every fault at every step of a call, in virtual time.
+
+        Writes build/faults.json; fails when an invariant is broken or too
+        little is served under a fault.
+
+        :param seed: seed of the cases and of the sample
+        :param repeated: how many faults that come twice are sampled
+        :param pairs: how many pairs of faults are sampled
+        :param full: run every repeated fault and every pair (about ten minutes)
+        """
+        return commands.faults(seed, repeated, pairs, full)
+
+    return {'faults': faults, 'demo': demo, 'entry': entry, 'check-config': check_config}
--- a/libs/entry/toucanlead_entry/slots.py
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -103,8 +103,10 @@
 
     async def refresh(self) -> None:
         """Read members and slots again."""
-        members = await self._ctx.store.scan(MEMBERS)
+        # Slots first: an entry registers before it claims, so that a holder
+        # read here and missing from the members read after it has ended.
         slots = await self._ctx.store.scan(SLOTS)
+        members = await self._ctx.store.scan(MEMBERS)
         self.view = View(
             {m.entry: m for m in (from_json(e.value, MemberRecord) for e in members)},
             {record.slot: (record, rev) for record, rev in map(_slot_of, slots)},
@@ -238,7 +240,7 @@
                 await self._ctx.timers.sleep(rank * self._ctx.pacing.seal_stagger_s)
             if await self._seal(holder):
                 self.sealed.add(holder)
-                await self._load_and_claim(mine)
+                await self._load_and_claim(holder, mine)
 
     def _dead_slots(self) -> dict[str, list[int]]:
         """Return slots whose holder has had no member key for a lease period."""
@@ -271,14 +273,14 @@
         log.info('journal_sealed', holder=holder, by=self.owner.holder, done=done)
         return done or await self._seal(holder)
 
-    async def _load_and_claim(self, slots: list[int]) -> None:
+    async def _load_and_claim(self, sealed: str, slots: list[int]) -> None:
         """Rebuild programs from checkpoints and sealed journals, then take the slots."""
         journals: dict[str, list[Segment]] = {}
         for slot in slots:
             entry = await self._ctx.store.get(slot_key(slot))
             old, mod_rev = _slot_of(entry)
-            if old.holder in {m.holder for m in self.view.members.values()}:
-                continue
+            if old.holder != sealed:
+                continue  # another entry was faster
             for holder in old.lineage:
                 if holder not in journals:
                     journals[holder] = await read_journal(self._ctx, holder)
--- a/libs/standins/toucanlead_standins/kv_model.py
+++ b/libs/standins/toucanlead_standins/kv_model.py
@@ -111,6 +111,8 @@
         created = old.create_rev if old else self.revision
         self._entries[op.key] = KvEntry(op.key, op.value, created, self.revision)
         self._history.append(WatchEvent(op.key, op.value, self.revision))
+        for lease in self._leases.values():
+            lease.keys.discard(op.key)
         if op.lease:
             self._leases[op.lease].keys.add(op.key)
 
--- a/libs/standins/toucanlead_standins/network.py
+++ b/libs/standins/toucanlead_standins/network.py
@@ -46,6 +46,11 @@
         """Let it go on."""
         self._running.set()
 
+    @property
+    def paused(self) -> bool:
+        """Say whether the process is paused."""
+        return not self._running.is_set()
+
     async def passable(self) -> None:
         """Wait while the process is paused."""
         await self._running.wait()
--- a/libs/standins/toucanlead_standins/virtual_loop.py
+++ b/libs/standins/toucanlead_standins/virtual_loop.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeVar
 
 T = TypeVar('T')
+TICK_S = 1e-6  # less would be lost in rounding, and a timer would spin
 
 
 class _JumpSelector(selectors.BaseSelector):
@@ -47,7 +48,8 @@
 
     def advance(self, delay_s: float) -> None:
         """Move the clock on."""
-        self._virtual_now_s += delay_s
+        if delay_s > 0:
+            self._virtual_now_s += max(delay_s, TICK_S)
 
 
 def run_virtual(main: Coroutine[Any, Any, T]) -> T:
--- a/libs/trials/toucanlead_trials/virtual_site.py
+++ b/libs/trials/toucanlead_trials/virtual_site.py
@@ -51,8 +51,9 @@
 ZONES = ('centro-a', 'centro-b', 'norte-a', 'centro-platform')
 SLOTS = 6
 TOOL_DEADLINE_S = 2.0
-REQUEST_PATIENCE_S = 25.0
+REQUEST_PATIENCE_S = 5.0  # shorter than a pause, so that callers try another entry
 LOOP_CALLS = 100
+HEALTH_CHECK_LAG = 4  # one request in so many still goes to a paused entry
 ENTRY_PLACES = {
     'centro-1': Place(HOME, 'centro-a'),
     'centro-2': Place(HOME, 'centro-b'),
@@ -307,6 +308,8 @@
         self._turn += 1
         for shift in range(len(names)):
             running = site.entries[names[(self._turn + shift) % len(names)]]
+            if running.gate.paused and self._turn % HEALTH_CHECK_LAG:
+                continue  # the balancer's health checks notice late
             try:
                 if running.entry.ready:
                     await site.network.send(site.caller_gate, running.gate)
