--- a/libs/policy/toucanlead_policy/beliefs.py
+++ b/libs/policy/toucanlead_policy/beliefs.py
@@ -20,6 +20,7 @@
     _programs: OrderedDict[str, dict[str, float]] = field(factory=OrderedDict)
     _trust: dict[str, float] = field(factory=dict)
     _last_event: dict[str, int] = field(factory=dict)
+    _groups: set[tuple[str, str]] = field(factory=set)
 
     def holders(self, program_id: str) -> dict[str, float]:
         """Return believed cached tokens by replica."""
@@ -30,6 +31,18 @@
         tokens = self.holders(program_id).get(replica, 0.0)
         return tokens * self._trust.get(replica, 1.0)
 
+    def items(self) -> list[tuple[str, dict[str, float]]]:
+        """Return all programs with their believed holders."""
+        return list(self._programs.items())
+
+    def group_seen(self, group: str, replica: str) -> None:
+        """Note that a replica has computed the common beginning of a group."""
+        self._groups.add((group, replica))
+
+    def group_held(self, group: str, replica: str) -> bool:
+        """Say whether a replica is believed to hold a group's common beginning."""
+        return bool(group) and (group, replica) in self._groups
+
     def answered(self, program_id: str, replica: str, prompt: int, output: int) -> None:
         """Note that a replica has just worked on the whole history."""
         known = self._programs.setdefault(program_id, {})
@@ -64,5 +77,6 @@
         """Drop a replica that restarted."""
         for known in self._programs.values():
             known.pop(replica, None)
+        self._groups = {(g, r) for g, r in self._groups if r != replica}
         self._trust.pop(replica, None)
         self._last_event.pop(replica, None)
--- a/libs/policy/toucanlead_policy/fleet.py
+++ b/libs/policy/toucanlead_policy/fleet.py
@@ -26,6 +26,7 @@
     reported: int = 0
     own_at_report: int = 0
     reported_at: float = -1e9
+    cache_share: float = 0.0
     service_s: float = 2.0
     _errors: float = 0.0
     _errors_at: float = 0.0
@@ -42,8 +43,9 @@
         if service_s is not None:
             self.service_s += SERVICE_SMOOTHING * (service_s - self.service_s)
 
-    def report(self, running: int, waiting: int, taken_at: float) -> None:
+    def report(self, running: int, waiting: int, taken_at: float, cache_share: float = 0.0) -> None:
         """Apply a load report taken some time ago."""
+        self.cache_share = cache_share
         self.reported = running + waiting
         self.own_at_report = self.own
         self.reported_at = taken_at
--- a/libs/policy/toucanlead_policy/retention.py
+++ b/libs/policy/toucanlead_policy/retention.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 SAMPLES = 64  # pauses remembered per tool
+UNKNOWN_PAUSE_S = 60.0
 
 
 class Retention(str, Enum):
@@ -26,6 +27,11 @@
         """Note a pause that ended."""
         self._pauses.setdefault(kind, deque(maxlen=SAMPLES)).append(pause_s)
 
+    def expected_s(self, kind: str) -> float:
+        """Return the mean of recent pauses, a minute when nothing is known."""
+        samples = self._pauses.get(kind)
+        return sum(samples) / len(samples) if samples else UNKNOWN_PAUSE_S
+
     def hold_s(self, kind: str, recompute_s: float, pressure: float) -> float:
         """Return how long keeping the cache is worth its memory.
 
--- a/libs/policy/toucanlead_policy/routing.py
+++ b/libs/policy/toucanlead_policy/routing.py
@@ -16,7 +16,11 @@
 
 @frozen
 class Turn:
-    """What is known of a turn before it runs; sizes in tokens and bytes."""
+    """What is known of a turn before it runs; sizes in tokens and bytes.
+
+    Programs of a group begin with the same `group_tokens`. An exported cache of
+    `exported_tokens` can be loaded by any replica at the import rate.
+    """
 
     program_id: str
     model: str
@@ -24,6 +28,10 @@
     prompt_tokens: int
     prompt_bytes: int
     max_tokens: int = 256
+    exported_tokens: int = 0
+    import_tokens_per_s: float = 100_000.0
+    group: str = ''
+    group_tokens: int = 0
 
 
 @frozen
@@ -60,7 +68,7 @@
         """Weigh queue, prefill, link and risk for each candidate."""
         best: Choice | None = None
         for replica in self._candidates(turn, fleet, avoid):
-            cached = min(turn.prompt_tokens, self.beliefs.cached(turn.program_id, replica.name))
+            cached = self._cached(turn, replica.name)
             cost_ms = self.cost_ms(turn, replica, cached, now)
             if best is None or cost_ms < best.cost_ms:
                 best = Choice(replica.name, cost_ms, cached)
@@ -70,7 +78,10 @@
         """Return the expected cost in milliseconds."""
         preset = self.preset
         queue_ms = 1e3 * replica.queue_s()
-        prefill_ms = 1e3 * (turn.prompt_tokens - cached) / replica.prefill_tokens_per_s
+        imported = max(0.0, min(turn.exported_tokens, turn.prompt_tokens) - cached)
+        missing = turn.prompt_tokens - cached - imported
+        prefill_ms = 1e3 * missing / replica.prefill_tokens_per_s
+        prefill_ms += 1e3 * imported / turn.import_tokens_per_s
         link_ms = 0.0
         if replica.region != turn.region:
             link_ms = LINK_LATENCY_MS + 1e3 * turn.prompt_bytes / self.link_bytes_per_s
@@ -83,6 +94,12 @@
             + preset.risk_weight * risk_ms
         )
 
+    def _cached(self, turn: Turn, replica: str) -> float:
+        cached = self.beliefs.cached(turn.program_id, replica)
+        if cached == 0 and self.beliefs.group_held(turn.group, replica):
+            cached = float(turn.group_tokens)
+        return min(float(turn.prompt_tokens), cached)
+
     def _candidates(self, turn: Turn, fleet: Fleet, avoid: frozenset[str]) -> list[ReplicaState]:
         names = fleet.of_model(turn.model)
         holders = [n for n in self.beliefs.holders(turn.program_id) if n in fleet.replicas]
--- /dev/null
+++ b/libs/trials/toucanlead_trials/bench.py
@@ -0,0 +1,230 @@
+"""Benchmark: policies against baselines over customers, presets, loads and faults."""
+
+from collections.abc import Callable, Iterator
+
+from attrs import asdict, frozen
+
+from .bench_engine import EngineShape
+from .bench_policy import PRESETS, BenchPolicy, ablations, baselines, product
+from .bench_run import BenchCell, BenchFault, BenchResult, run_bound, run_cell
+from .statistics import mean, spread
+from .workload import FLAMAVIVA, KUSHIRO, Shape
+
+LOADS = (0.5, 0.8, 1.0, 1.3)
+SEEDS = (1, 2, 3, 4, 5)
+FAULT_LOAD = 0.8
+BOUND = 'clairvoyant'
+PRODUCT = 'toucanlead'
+
+
+@frozen
+class Customer:
+    """A customer's workload and its replicas today."""
+
+    shape: Shape
+    replicas: int
+    engine: EngineShape
+
+
+CUSTOMERS = (
+    Customer(FLAMAVIVA, 6, EngineShape(cache_tokens=150_000)),
+    Customer(KUSHIRO, 5, EngineShape(cache_tokens=600_000, host_tokens=6_000_000)),
+)
+
+
+@frozen
+class BenchRow:
+    """Means over the seeds, and the spread of the 95th percentile."""
+
+    customer: str
+    preset: str
+    load: float
+    fault: str
+    policy: str
+    program_latency_s: dict[str, float]
+    latency_p95_spread_s: float
+    first_token_s_p95: float
+    wasted_cache_ratio: float
+    link_bytes_per_turn: float
+    full_history_bytes_per_turn: float
+    goodput: float
+    finished: float
+
+
+@frozen
+class Verdict:
+    """One target, what was reached, and whether that is enough."""
+
+    target: str
+    bound: float
+    reached: float
+    met: bool
+
+
+def run_bench(
+    say: Callable[[str], None], programs: int, seeds: tuple[int, ...] = SEEDS
+) -> list[BenchRow]:
+    """Run all cells of the comparison."""
+    rows = []
+    for customer in CUSTOMERS:
+        for load, fault in _conditions():
+            for policy in _policies(load, fault):
+                rows.append(_row(customer, load, fault, policy, programs, seeds))
+            say(f'{customer.shape.customer} load {load} {fault.value}')
+    return rows
+
+
+def run_ablation(programs: int, seeds: tuple[int, ...] = SEEDS) -> list[BenchRow]:
+    """Run the product with each mechanism switched off alone."""
+    policies = [product(), *ablations()]
+    return [
+        _row(customer, load, BenchFault.NONE, policy, programs, seeds)
+        for customer in CUSTOMERS
+        for load in (0.8, 1.3)
+        for policy in policies
+    ]
+
+
+def verdicts(rows: list[BenchRow]) -> list[Verdict]:
+    """Judge the targets: each against the best baseline of its cell."""
+    found = []
+    flamaviva = _cell(rows, 'flamaviva', 0.8)
+    ratio = _ratio(flamaviva, lambda r: r.program_latency_s['p95'])
+    found.append(_at_most('flamaviva p95 latency at 0.8, of best baseline', 0.6, ratio))
+    kushiro = _cell(rows, 'kushiro', 0.8)
+    ratio = _ratio(kushiro, lambda r: r.wasted_cache_ratio)
+    found.append(_at_most('kushiro wasted cache at 0.8, of best baseline', 0.25, ratio))
+    found.extend(_never_worse(rows))
+    ours = [r for r in rows if r.policy == PRODUCT]
+    link = max(r.link_bytes_per_turn / r.full_history_bytes_per_turn for r in ours)
+    found.append(_at_most('link bytes per turn, of full-history forwarding', 0.2, link))
+    for name in ('flamaviva', 'kushiro'):
+        keep = _one(rows, name, 1.3, PRODUCT).goodput / _one(rows, name, 1.0, PRODUCT).goodput
+        found.append(_at_least(f'{name} goodput at 1.3, of that at 1.0', 0.95, keep))
+        p95 = _one(rows, name, 0.8, PRODUCT).program_latency_s['p95']
+        bound = _one(rows, name, 0.8, BOUND).program_latency_s['p95']
+        found.append(_at_most(f'{name} p95 latency at 0.8, of clairvoyant', 1.25, p95 / bound))
+    return found
+
+
+def bench_document(rows: list[BenchRow], ablation: list[BenchRow]) -> dict:
+    """Return the report that goes to build/bench.json."""
+    return {
+        'cells': [asdict(row) for row in rows],
+        'ablation': [asdict(row) for row in ablation],
+        'targets': [asdict(verdict) for verdict in verdicts(rows)],
+    }
+
+
+def _conditions() -> Iterator[tuple[float, BenchFault]]:
+    for load in LOADS:
+        yield load, BenchFault.NONE
+    for fault in BenchFault:
+        if fault is not BenchFault.NONE:
+            yield FAULT_LOAD, fault
+
+
+def _policies(load: float, fault: BenchFault) -> list[BenchPolicy | None]:
+    found: list[BenchPolicy | None] = [*baselines()]
+    if fault is BenchFault.NONE:
+        found += [product(preset) for preset in PRESETS.values()]
+        found.append(None)
+    else:
+        found.append(product())
+    return found
+
+
+def _row(
+    customer: Customer,
+    load: float,
+    fault: BenchFault,
+    policy: BenchPolicy | None,
+    programs: int,
+    seeds: tuple[int, ...],
+) -> BenchRow:
+    results = [_run(customer, load, fault, policy, programs, seed) for seed in seeds]
+    p95 = [r.latency_p95_s for r in results]
+    return BenchRow(
+        customer=customer.shape.customer,
+        preset=policy.preset.name if policy else '',
+        load=load,
+        fault=fault.value,
+        policy=policy.name if policy else BOUND,
+        program_latency_s={
+            'p50': _mean(results, 'latency_p50_s'),
+            'p95': round(mean(p95), 4),
+            'p99': _mean(results, 'latency_p99_s'),
+        },
+        latency_p95_spread_s=round(spread(p95), 4),
+        first_token_s_p95=_mean(results, 'first_token_p95_s'),
+        wasted_cache_ratio=_mean(results, 'wasted_cache_ratio'),
+        link_bytes_per_turn=_mean(results, 'link_bytes_per_turn'),
+        full_history_bytes_per_turn=_mean(results, 'full_history_bytes_per_turn'),
+        goodput=_mean(results, 'goodput_per_s'),
+        finished=_mean(results, 'finished'),
+    )
+
+
+def _run(
+    customer: Customer,
+    load: float,
+    fault: BenchFault,
+    policy: BenchPolicy | None,
+    programs: int,
+    seed: int,
+) -> BenchResult:
+    cell = BenchCell(
+        customer.shape,
+        customer.replicas,
+        load,
+        seed,
+        policy or product(),
+        fault,
+        programs,
+        customer.engine,
+    )
+    return run_bound(cell) if policy is None else run_cell(cell)
+
+
+def _mean(results: list[BenchResult], name: str) -> float:
+    return round(mean([getattr(result, name) for result in results]), 4)
+
+
+def _cell(rows: list[BenchRow], customer: str, load: float, fault: str = 'none') -> list[BenchRow]:
+    return [
+        r
+        for r in rows
+        if (r.customer, r.load, r.fault) == (customer, load, fault)
+        and (r.policy != PRODUCT or r.preset == 'ordinary')
+    ]
+
+
+def _one(rows: list[BenchRow], customer: str, load: float, policy: str) -> BenchRow:
+    return next(r for r in _cell(rows, customer, load) if r.policy == policy)
+
+
+def _ratio(cell: list[BenchRow], figure: Callable[[BenchRow], float]) -> float:
+    ours = next(figure(r) for r in cell if r.policy == PRODUCT)
+    best = min(figure(r) for r in cell if r.policy not in (PRODUCT, BOUND))
+    return ours / best if best else float(ours > 0)
+
+
+def _never_worse(rows: list[BenchRow]) -> list[Verdict]:
+    latency, waste = [], []
+    for customer in ('flamaviva', 'kushiro'):
+        for load, fault in _conditions():
+            cell = _cell(rows, customer, load, fault.value)
+            latency.append(_ratio(cell, lambda r: r.program_latency_s['p95']))
+            waste.append(_ratio(cell, lambda r: r.wasted_cache_ratio))
+    return [
+        _at_most('worst cell, p95 latency of best baseline', 1.0, max(latency)),
+        _at_most('worst cell, wasted cache of best baseline', 1.0, max(waste)),
+    ]
+
+
+def _at_most(target: str, bound: float, reached: float) -> Verdict:
+    return Verdict(target, bound, round(reached, 4), reached <= bound)
+
+
+def _at_least(target: str, bound: float, reached: float) -> Verdict:
+    return Verdict(target, bound, round(reached, 4), reached >= bound)
--- /dev/null
+++ b/libs/trials/toucanlead_trials/bench_engine.py
@@ -0,0 +1,155 @@
+"""Engine timing model: slots, prefill and decode rates, prefix cache with eviction."""
+
+import heapq
+import itertools
+from collections import OrderedDict
+from collections.abc import Callable
+
+from attrs import define, field, frozen
+
+from .event_loop import EventLoop
+
+
+@frozen
+class EngineShape:
+    """A replica's size; rates in tokens per second, memory in tokens."""
+
+    slots: int = 8
+    prefill_tokens_per_s: float = 8000.0
+    decode_token_s: float = 0.025
+    cache_tokens: int = 120_000
+    host_tokens: int = 1_200_000
+    import_tokens_per_s: float = 100_000.0
+
+
+@frozen
+class Job:
+    """One turn at a replica; sizes in tokens."""
+
+    program: str
+    group: str
+    system_tokens: int
+    prompt_tokens: int
+    output_tokens: int
+    priority: int
+    import_tokens: int
+    on_first_token: Callable[[], None]
+    on_done: Callable[['JobResult'], None]
+
+
+@frozen
+class JobResult:
+    """What a turn took: tokens found in the cache and computed, and whether it broke."""
+
+    cached: int
+    prefilled: int
+    failed: bool = False
+
+
+@define
+class BenchEngine:
+    """One replica in the event simulation."""
+
+    name: str
+    loop: EventLoop
+    shape: EngineShape
+    slowness: float = 1.0
+    up: bool = True
+    running: int = 0
+    _queue: list = field(factory=list)
+    _numbers: itertools.count = field(factory=itertools.count)
+    _prefill_free_at: float = 0.0
+    _cache: OrderedDict[str, int] = field(factory=OrderedDict)
+    _groups: dict[str, int] = field(factory=dict)
+    _active: dict[int, Job] = field(factory=dict)
+    _epoch: int = 0
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of queued turns."""
+        return len(self._queue)
+
+    @property
+    def cache_share(self) -> float:
+        """Return the share of cache memory in use."""
+        return sum(self._cache.values()) / self.shape.cache_tokens
+
+    def submit(self, job: Job) -> None:
+        """Take a turn: to a slot, or to the queue by priority."""
+        if not self.up:
+            self.loop.after(0.0, lambda: job.on_done(JobResult(0, 0, failed=True)))
+            return
+        heapq.heappush(self._queue, (job.priority, next(self._numbers), job))
+        self._fill()
+
+    def release(self, program: str) -> None:
+        """Free a program's cache."""
+        self._cache.pop(program, None)
+
+    def cached(self, program: str) -> int:
+        """Return the tokens cached of a program."""
+        return self._cache.get(program, 0)
+
+    def die(self) -> None:
+        """Break every turn and lose all memory."""
+        self.up = False
+        self._epoch += 1
+        broken = [job for _, _, job in self._queue] + list(self._active.values())
+        self._queue.clear()
+        self._active.clear()
+        self._cache.clear()
+        self._groups.clear()
+        self.running = 0
+        for job in broken:
+            self.loop.after(0.0, lambda job=job: job.on_done(JobResult(0, 0, failed=True)))
+
+    def come_back(self) -> None:
+        """Serve again, empty."""
+        self.up = True
+        self._prefill_free_at = self.loop.now
+
+    def _fill(self) -> None:
+        while self._queue and self.running < self.shape.slots:
+            _, number, job = heapq.heappop(self._queue)
+            self._start(number, job)
+
+    def _start(self, number: int, job: Job) -> None:
+        self.running += 1
+        self._active[number] = job
+        cached = min(self.cached(job.program), job.prompt_tokens)
+        if cached == 0 and job.group in self._groups:
+            cached = min(job.system_tokens, job.prompt_tokens)
+        imported = max(0, min(job.import_tokens, job.prompt_tokens) - cached)
+        todo = job.prompt_tokens - cached - imported
+        import_s = imported / self.shape.import_tokens_per_s
+        prefill_s = self.slowness * todo / self.shape.prefill_tokens_per_s
+        start = max(self.loop.now + import_s, self._prefill_free_at)
+        self._prefill_free_at = start + prefill_s
+        decode_s = self.slowness * job.output_tokens * self.shape.decode_token_s
+        if job.program in self._cache:
+            self._cache.move_to_end(job.program)
+        epoch = self._epoch
+        result = JobResult(cached + imported, todo)
+        first = self._prefill_free_at + self.slowness * self.shape.decode_token_s
+        self.loop.at(first, lambda: epoch == self._epoch and job.on_first_token())
+        self.loop.at(
+            self._prefill_free_at + decode_s, lambda: self._finish(number, job, result, epoch)
+        )
+
+    def _finish(self, number: int, job: Job, result: JobResult, epoch: int) -> None:
+        if epoch != self._epoch:
+            return
+        del self._active[number]
+        self.running -= 1
+        self._store(job)
+        job.on_done(result)
+        self._fill()
+
+    def _store(self, job: Job) -> None:
+        self._cache[job.program] = job.prompt_tokens + job.output_tokens
+        self._cache.move_to_end(job.program)
+        self._groups[job.group] = job.system_tokens
+        total = sum(self._cache.values())
+        while total > self.shape.cache_tokens and len(self._cache) > 1:
+            _, tokens = self._cache.popitem(last=False)
+            total -= tokens
--- /dev/null
+++ b/libs/trials/toucanlead_trials/bench_policy.py
@@ -0,0 +1,66 @@
+"""Policies under test: the product's own decisions, and the baselines."""
+
+import random
+from collections.abc import Callable
+
+from attrs import evolve, frozen
+
+from toucanlead_policy.beliefs import CacheBeliefs
+from toucanlead_policy.preset import MAINTENANCE, ORDINARY, PEAK, Preset
+from toucanlead_policy.routing import (
+    ExpectedCostRouter,
+    LeastOutstandingRouter,
+    RoundRobinRouter,
+    Router,
+    StickyRouter,
+)
+
+PRESETS = {preset.name: preset for preset in (ORDINARY, PEAK, MAINTENANCE)}
+RouterMaker = Callable[[CacheBeliefs, random.Random], Router]
+
+
+@frozen
+class BenchPolicy:
+    """A router, and which other decisions are on."""
+
+    name: str
+    make_router: RouterMaker
+    preset: Preset = ORDINARY
+    priority: bool = False
+    retention: bool = False
+    admission: bool = False
+    own_load: bool = True
+
+
+def product(preset: Preset = ORDINARY, name: str = 'toucanlead') -> BenchPolicy:
+    """Return the product's decisions under a preset."""
+
+    def make(beliefs: CacheBeliefs, rng: random.Random) -> Router:
+        return ExpectedCostRouter(preset, beliefs, rng)
+
+    return BenchPolicy(name, make, preset, priority=True, retention=True, admission=True)
+
+
+def baselines() -> list[BenchPolicy]:
+    """Return the baselines."""
+    return [
+        BenchPolicy('round_robin', lambda beliefs, rng: RoundRobinRouter()),
+        BenchPolicy('least_outstanding', lambda beliefs, rng: LeastOutstandingRouter()),
+        BenchPolicy('sticky', lambda beliefs, rng: StickyRouter()),
+    ]
+
+
+def ablations() -> list[BenchPolicy]:
+    """Return the product with one mechanism switched off in each."""
+    whole = product()
+    return [
+        evolve(whole, name='no_priority', priority=False),
+        evolve(whole, name='no_retention', retention=False),
+        evolve(whole, name='no_admission', admission=False),
+        evolve(whole, name='no_own_load', own_load=False),
+        product(evolve(ORDINARY, prefill_weight=0.0), 'no_cache_cost'),
+        product(evolve(ORDINARY, queue_weight=0.0), 'no_queue_cost'),
+        product(evolve(ORDINARY, risk_weight=0.0), 'no_risk'),
+        product(evolve(ORDINARY, candidates=1), 'one_candidate'),
+        product(evolve(ORDINARY, candidates=1000), 'all_candidates'),
+    ]
--- /dev/null
+++ b/libs/trials/toucanlead_trials/bench_run.py
@@ -0,0 +1,467 @@
+"""One benchmark run: programs of a workload through entries and replicas."""
+
+import random
+from enum import Enum
+
+from attrs import define, evolve, field, frozen
+
+from toucanlead_core.messages import CallKind, count_tokens
+from toucanlead_policy.admission import admit_program
+from toucanlead_policy.beliefs import CacheBeliefs
+from toucanlead_policy.fleet import Fleet, ReplicaState
+from toucanlead_policy.priority import ProgramService, engine_priority
+from toucanlead_policy.retention import PauseModel, Retention, decide
+from toucanlead_policy.routing import Choice, Router, Turn
+
+from .bench_engine import BenchEngine, EngineShape, Job, JobResult
+from .bench_policy import BenchPolicy
+from .event_loop import EventLoop
+from .statistics import mean, percentile
+from .trace import TraceProgram
+from .workload import Shape, make_programs
+
+ENTRIES = 4
+LINK_LATENCY_S = 0.020
+LINK_BYTES_PER_S = 15e6 / 8
+BYTES_PER_TOKEN = 5
+FRAME_BYTES = 120
+TOOL_S = 0.3
+REPORT_PERIOD_S = 0.5
+EVENT_DELAY_S = 0.5
+RETRY_S = 0.1
+TOKEN_SCALE = 10  # recorded texts are short; agents' inputs carry whole notes
+FAULT_AT_S = 60.0
+FAULT_S = 60.0
+
+
+class BenchFault(str, Enum):
+    """Faults under which policies are compared."""
+
+    NONE = 'none'
+    REPLICA_DIES = 'replica_dies'
+    REPLICA_SLOW = 'replica_slow_5x'
+    LINK_HALVED = 'link_halved'
+    EVENTS_GAPPED = 'events_gapped'
+    REPORTS_LATE = 'reports_late_5s'
+
+
+@frozen
+class BenchCell:
+    """What one run is about."""
+
+    shape: Shape
+    replicas: int
+    load: float
+    seed: int
+    policy: BenchPolicy
+    fault: BenchFault = BenchFault.NONE
+    programs: int = 300
+    engine: EngineShape = EngineShape()
+    clairvoyant: bool = False
+
+
+@frozen
+class BenchResult:
+    """Figures of one run; latencies leave recorded pauses out."""
+
+    latency_p50_s: float
+    latency_p95_s: float
+    latency_p99_s: float
+    first_token_p95_s: float
+    wasted_cache_ratio: float
+    link_bytes_per_turn: float
+    full_history_bytes_per_turn: float
+    goodput_per_s: float
+    finished: int
+
+
+@define
+class _Run:
+    """One program under way."""
+
+    program: TraceProgram
+    root: '_Run | None'
+    entry: int
+    opened_at: float
+    system_tokens: int
+    next_call: int = 0
+    history_tokens: int = 0
+    attained: int = 0
+    paused_s: float = 0.0
+    last_replica: str = ''
+    exported_tokens: int = 0
+    paused_since: float = 0.0
+    asked_at: float = 0.0
+    waiting_for: int = 0
+    children: list['_Run'] = field(factory=list)
+
+
+@define
+class _Entry:
+    router: Router
+    beliefs: CacheBeliefs
+    fleet: Fleet
+    pauses: PauseModel = field(factory=PauseModel)
+
+
+class BenchSite:
+    """Entries, replicas and the link in virtual time."""
+
+    def __init__(self, cell: BenchCell) -> None:
+        """Build everything from the cell's seed."""
+        self._cell = cell
+        self._loop = EventLoop()
+        self._rng = random.Random(f'{cell.shape.customer}/{cell.seed}/{cell.load}')
+        self._engines = {
+            f'r{i}': BenchEngine(f'r{i}', self._loop, cell.engine) for i in range(cell.replicas)
+        }
+        self._entries = [self._make_entry(i) for i in range(ENTRIES)]
+        self._computed: dict[str, int] = {}
+        self._computed_groups: set[str] = set()
+        self._link_free_at = 0.0
+        self._link_rate = LINK_BYTES_PER_S
+        self._latencies: list[float] = []
+        self._first_tokens: list[float] = []
+        self._in_deadline = 0
+        self._finished = 0
+        self._prompt_tokens = 0
+        self._wasted_tokens = 0
+        self._turns = 0
+        self._link_bytes = 0
+        self._full_bytes = 0
+        self._events_lost = False
+        self._report_delay_s = 5.0 if cell.fault is BenchFault.REPORTS_LATE else 1.0
+
+    def run(self) -> BenchResult:
+        """Play all programs and return the figures."""
+        cell = self._cell
+        rate = cell.load * capacity_per_s(cell.shape, cell.replicas, cell.engine)
+        programs = make_programs(cell.shape, cell.programs, cell.seed, rate_per_s=rate)
+        children: dict[str, list[TraceProgram]] = {}
+        for program in programs:
+            if program.parent is not None:
+                children.setdefault(program.parent, []).append(program)
+        for number, program in enumerate(p for p in programs if p.parent is None):
+            run = self._make_run(program, None, number % ENTRIES)
+            run.children = [
+                self._make_run(c, run, run.entry) for c in children.get(program.name, [])
+            ]
+            self._loop.at(program.start_s, lambda run=run: self._admit(run))
+        last_s = max(p.start_s for p in programs)
+        self._loop.after(0.0, self._report_loads)
+        self._schedule_fault()
+        self._stop_reports_at = last_s + 3000.0
+        self._loop.run(last_s + 3000.0)
+        return self._result(last_s)
+
+    def _make_entry(self, number: int) -> _Entry:
+        beliefs = CacheBeliefs()
+        rng = random.Random(f'{self._cell.seed}/{number}')
+        fleet = Fleet()
+        shape = self._cell.engine
+        for name in self._engines:
+            fleet.add(
+                ReplicaState(
+                    name,
+                    self._cell.shape.model,
+                    'zone',
+                    'home',
+                    shape.slots,
+                    shape.prefill_tokens_per_s,
+                    shape.decode_token_s,
+                )
+            )
+        return _Entry(self._cell.policy.make_router(beliefs, rng), beliefs, fleet)
+
+    def _make_run(self, program: TraceProgram, root: _Run | None, entry: int) -> _Run:
+        system = self._cell.shape.system_tokens * TOKEN_SCALE
+        return _Run(program, root, entry, program.start_s, system)
+
+    def _admit(self, run: _Run) -> None:
+        entry = self._entries[run.entry]
+        policy = self._cell.policy
+        if policy.admission:
+            wait_s = admit_program(entry.fleet, run.program.model, policy.preset)
+            if wait_s is not None and self._loop.now < run.opened_at + self._deadline_s(run):
+                self._loop.after(1.0 + wait_s * self._rng.random(), lambda: self._admit(run))
+                return
+            if wait_s is not None:
+                return  # turned away for good
+        self._advance(run)
+
+    def _advance(self, run: _Run) -> None:
+        if run.next_call >= len(run.program.calls):
+            self._end(run)
+            return
+        call = run.program.calls[run.next_call]
+        run.paused_s += call.pause_s
+        run.paused_since = self._loop.now
+        self._pause(run, call.pause_s)
+        self._loop.after(call.pause_s, lambda: self._call(run))
+
+    def _call(self, run: _Run) -> None:
+        call = run.program.calls[run.next_call]
+        run.asked_at = self._loop.now
+        if call.kind is not CallKind.MODEL:
+            run.history_tokens += 10
+            self._loop.after(TOOL_S, lambda: self._answered(run))
+            return
+        entry = self._entries[run.entry]
+        entry.pauses.observe(self._pause_kind(run), self._loop.now - run.paused_since)
+        new = self._new_tokens(run)
+        run.history_tokens += new
+        self._turns += 1
+        self._full_bytes += run.history_tokens * BYTES_PER_TOKEN + FRAME_BYTES
+        self._cross(new * BYTES_PER_TOKEN + FRAME_BYTES, lambda: self._route(run, frozenset()))
+
+    def _route(self, run: _Run, avoid: frozenset[str]) -> None:
+        entry = self._entries[run.entry]
+        turn = Turn(
+            run.program.name,
+            run.program.model,
+            'home',
+            run.history_tokens,
+            run.history_tokens * BYTES_PER_TOKEN,
+            exported_tokens=run.exported_tokens,
+            import_tokens_per_s=self._cell.engine.import_tokens_per_s,
+            group=self._cell.shape.customer,
+            group_tokens=run.system_tokens,
+        )
+        choice = self._choose(entry, turn, avoid)
+        if choice is None:
+            self._loop.after(RETRY_S, lambda: self._route(run, frozenset()))
+            return
+        self._send(run, entry, choice, avoid)
+
+    def _choose(self, entry: _Entry, turn: Turn, avoid: frozenset[str]) -> Choice | None:
+        if not self._cell.clairvoyant:
+            return entry.router.choose(turn, entry.fleet, self._loop.now, avoid)
+        usable = [e for e in self._engines.values() if e.up]
+        best = min(usable, key=lambda e: (e.running + e.waiting, -e.cached(turn.program_id)))
+        return Choice(best.name, 0.0, 0.0)
+
+    def _send(self, run: _Run, entry: _Entry, choice: Choice, avoid: frozenset[str]) -> None:
+        call = run.program.calls[run.next_call]
+        replica = entry.fleet.replicas[choice.replica]
+        prefill = max(0.0, run.history_tokens - choice.cached_tokens)
+        replica.sent(prefill)
+        sent_at = self._loop.now
+        imported = run.exported_tokens
+        if self._cell.clairvoyant:
+            imported = run.history_tokens - self._new_tokens(run)
+        job = Job(
+            run.program.name,
+            self._cell.shape.customer,
+            run.system_tokens,
+            run.history_tokens,
+            call.output_tokens,
+            self._priority(run),
+            imported,
+            lambda: self._first_tokens.append(self._loop.now - run.asked_at),
+            lambda result: self._done(run, choice, prefill, sent_at, result, avoid),
+        )
+        self._engines[choice.replica].submit(job)
+
+    def _done(
+        self,
+        run: _Run,
+        choice: Choice,
+        prefill: float,
+        sent_at: float,
+        result: JobResult,
+        avoid: frozenset[str],
+    ) -> None:
+        entry = self._entries[run.entry]
+        replica = entry.fleet.replicas[choice.replica]
+        now = self._loop.now
+        replica.done(prefill, None if result.failed else now - sent_at)
+        if result.failed:
+            replica.failed(now)
+            self._loop.after(RETRY_S, lambda: self._route(run, avoid | frozenset([choice.replica])))
+            return
+        self._account(run, result)
+        call = run.program.calls[run.next_call]
+        entry.beliefs.measured(
+            run.program.name, choice.replica, choice.cached_tokens, result.cached
+        )
+        entry.beliefs.answered(
+            run.program.name, choice.replica, run.history_tokens, call.output_tokens
+        )
+        entry.beliefs.group_seen(self._cell.shape.customer, choice.replica)
+        run.history_tokens += call.output_tokens
+        run.attained += result.prefilled + call.output_tokens
+        run.last_replica = choice.replica
+        run.exported_tokens = 0
+        # Token frames overlap with decoding; the last one is what is waited for.
+        self._link_bytes += call.output_tokens * BYTES_PER_TOKEN
+        self._cross(FRAME_BYTES, lambda: self._answered(run))
+
+    def _account(self, run: _Run, result: JobResult) -> None:
+        name = run.program.name
+        known = self._computed.get(name, 0)
+        if known == 0 and self._cell.shape.customer in self._computed_groups:
+            known = run.system_tokens
+        self._prompt_tokens += run.history_tokens
+        reused = run.history_tokens - result.prefilled
+        self._wasted_tokens += max(0, min(known, run.history_tokens) - reused)
+        call = run.program.calls[run.next_call]
+        self._computed[name] = run.history_tokens + call.output_tokens
+        self._computed_groups.add(self._cell.shape.customer)
+
+    def _answered(self, run: _Run) -> None:
+        run.next_call += 1
+        starting = [c for c in run.children if c.program.after_seq == run.next_call]
+        if not starting:
+            self._advance(run)
+            return
+        run.waiting_for = len(starting)
+        for child in starting:
+            child.opened_at = self._loop.now
+            self._advance(child)
+
+    def _end(self, run: _Run) -> None:
+        for engine in self._engines.values():
+            engine.release(run.program.name)
+        self._entries[run.entry].beliefs.forget(run.program.name)
+        if run.root is not None:
+            run.root.paused_s += run.paused_s
+            run.root.attained += run.attained
+            run.root.waiting_for -= 1
+            if run.root.waiting_for == 0:
+                self._advance(run.root)
+            return
+        latency_s = self._loop.now - run.opened_at - run.paused_s
+        self._latencies.append(latency_s)
+        self._finished += 1
+        if latency_s <= self._deadline_s(run):
+            self._in_deadline += 1
+
+    def _pause(self, run: _Run, pause_s: float) -> None:
+        """Decide what becomes of the cache during a pause."""
+        if not self._cell.policy.retention or not run.last_replica:
+            return
+        entry = self._entries[run.entry]
+        engine = self._engines[run.last_replica]
+        share = entry.fleet.replicas[run.last_replica].cache_share
+        pressure = max(0.0, share - 0.5) * 2
+        tokens = run.history_tokens
+        expected = entry.pauses.expected_s(self._pause_kind(run))
+        recompute_s = tokens / self._cell.engine.prefill_tokens_per_s
+        export_s = tokens / self._cell.engine.import_tokens_per_s
+        price = pressure / max(1, self._cell.engine.slots)
+        decision = decide(expected, recompute_s, export_s, price)
+        if decision is Retention.EXPORT and engine.cached(run.program.name):
+            run.exported_tokens = engine.cached(run.program.name)
+            engine.release(run.program.name)
+        elif decision is Retention.RELEASE:
+            engine.release(run.program.name)
+
+    def _pause_kind(self, run: _Run) -> str:
+        call = run.program.calls[run.next_call]
+        return call.tool or 'person'
+
+    def _priority(self, run: _Run) -> int:
+        if not self._cell.policy.priority:
+            return 0
+        top = run.root or run
+        service = ProgramService(
+            top.attained + run.attained,
+            top.opened_at,
+            self._deadline_s(top),
+            self._loop.now - run.asked_at,
+            run.root is not None,
+        )
+        return engine_priority(service, self._loop.now, self._cell.policy.preset.aging_s)
+
+    def _new_tokens(self, run: _Run) -> int:
+        call = run.program.calls[run.next_call]
+        return sum(count_tokens(m.content) for m in call.messages) * TOKEN_SCALE
+
+    def _deadline_s(self, run: _Run) -> float:
+        ideal = sum(_service_s(c, self._cell.engine) for c in run.program.calls)
+        return 3 * ideal + 10.0
+
+    def _cross(self, size: int, then) -> None:
+        """Carry bytes over the shared link."""
+        self._link_bytes += size
+        start = max(self._loop.now, self._link_free_at)
+        self._link_free_at = start + size / self._link_rate
+        self._loop.at(self._link_free_at + LINK_LATENCY_S, then)
+
+    def _report_loads(self) -> None:
+        taken_at = self._loop.now
+        loads = {n: (e.running, e.waiting, e.cache_share) for n, e in self._engines.items()}
+
+        def deliver() -> None:
+            for entry in self._entries:
+                for name, (running, waiting, share) in loads.items():
+                    state = entry.fleet.replicas[name]
+                    state.report(running, waiting, taken_at, share)
+                    if not self._cell.policy.own_load:
+                        state.own_at_report = 0
+
+        self._loop.after(self._report_delay_s, deliver)
+        if not self._events_lost:
+            self._loop.after(EVENT_DELAY_S, self._deliver_events)
+        if self._loop.now < self._stop_reports_at:
+            self._loop.after(REPORT_PERIOD_S, self._report_loads)
+
+    def _deliver_events(self) -> None:
+        for entry in self._entries:
+            for program, known in entry.beliefs.items():
+                for name in list(known):
+                    known[name] = min(known[name], float(self._engines[name].cached(program)))
+
+    def _schedule_fault(self) -> None:
+        first = next(iter(self._engines.values()))
+        match self._cell.fault:
+            case BenchFault.REPLICA_DIES:
+                self._loop.at(FAULT_AT_S, first.die)
+                self._loop.at(FAULT_AT_S + FAULT_S, first.come_back)
+            case BenchFault.REPLICA_SLOW:
+                self._loop.at(FAULT_AT_S, lambda: setattr(first, 'slowness', 5.0))
+                self._loop.at(FAULT_AT_S + FAULT_S, lambda: setattr(first, 'slowness', 1.0))
+            case BenchFault.LINK_HALVED:
+                self._link_rate = LINK_BYTES_PER_S / 2
+            case BenchFault.EVENTS_GAPPED:
+                self._events_lost = True
+
+    def _result(self, last_s: float) -> BenchResult:
+        turns = max(1, self._turns)
+        return BenchResult(
+            percentile(self._latencies, 50),
+            percentile(self._latencies, 95),
+            percentile(self._latencies, 99),
+            percentile(self._first_tokens, 95),
+            self._wasted_tokens / max(1, self._prompt_tokens),
+            self._link_bytes / turns,
+            self._full_bytes / turns,
+            self._in_deadline / last_s,
+            self._finished,
+        )
+
+
+def run_cell(cell: BenchCell) -> BenchResult:
+    """Run one cell."""
+    return BenchSite(cell).run()
+
+
+def run_bound(cell: BenchCell) -> BenchResult:
+    """Run the clairvoyant bound: true loads, every prefix at hand."""
+    engine = evolve(cell.engine, cache_tokens=10**12, import_tokens_per_s=1e12)
+    return BenchSite(evolve(cell, engine=engine, clairvoyant=True)).run()
+
+
+def capacity_per_s(shape: Shape, replicas: int, engine: EngineShape) -> float:
+    """Return the programs a second that all slots can serve with every prefix cached."""
+    sample = make_programs(shape, 200, 0, rate_per_s=1.0)
+    per_root = mean([sum(_service_s(c, engine) for c in p.calls) for p in sample])
+    roots = sum(1 for p in sample if p.parent is None)
+    return replicas * engine.slots / (per_root * len(sample) / roots)
+
+
+def _service_s(call, engine: EngineShape) -> float:
+    if call.kind is not CallKind.MODEL:
+        return 0.0
+    tokens = sum(count_tokens(m.content) for m in call.messages) * TOKEN_SCALE
+    return tokens / engine.prefill_tokens_per_s + call.output_tokens * engine.decode_token_s
