--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LIBS := core policy state platform backends peer entry standins trials cli
 STAMP := $(VENV)/installed
 
-.PHONY: demo test faults faults-full check format proto traces lock clean
+.PHONY: demo test faults faults-full bench check format proto traces lock clean
 
 demo: $(STAMP)
 	$(BIN)/toucanlead demo
@@ -19,6 +19,9 @@
 faults-full: $(STAMP)
 	$(BIN)/toucanlead faults --full
 
+bench: $(STAMP)
+	$(BIN)/toucanlead bench
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/libs/cli/toucanlead/commands.py
+++ b/libs/cli/toucanlead/commands.py
@@ -7,6 +7,13 @@
 
 from toucanlead_entry.daemon import Daemon, run_until
 from toucanlead_entry.settings import load_settings
+from toucanlead_trials.bench import (
+    bench_cells,
+    bench_document,
+    run_ablation,
+    run_bench,
+    verdicts,
+)
 from toucanlead_trials.demo import demo_document, run_demo
 from toucanlead_trials.fault_kinds import FAULTS
 from toucanlead_trials.fault_matrix import (
@@ -81,6 +88,24 @@
         broken = poor or document['failed']
         return ExitStatus.VIOLATION if broken else ExitStatus.SUCCESS
 
+    def bench(self, programs: int, seeds: int, ablation: bool) -> ExitStatus:
+        """Run the benchmark."""
+        env = self._env
+        chosen = tuple(range(1, seeds + 1))
+        rows = run_bench(env.warn, programs, chosen)
+        switched_off = run_ablation(programs, chosen) if ablation else []
+        document = bench_document(rows, switched_off)
+        write_json(env.build / 'bench.json', document)
+        header = ['customer', 'load', 'fault', 'policy', 'preset', 'p50 s', 'p95 s', 'spread']
+        header += ['token p95', 'wasted', 'link B/turn', 'goodput/s']
+        env.say(table(header, [bench_cells(row) for row in rows]))
+        if switched_off:
+            env.say(table(header, [bench_cells(row) for row in switched_off]))
+        targets = verdicts(rows)
+        cells = [[v.target, v.bound, v.reached, 'met' if v.met else 'MISSED'] for v in targets]
+        env.say(table(['target', 'bound', 'reached', ''], cells))
+        return ExitStatus.SUCCESS
+
     def entry(self, config: str, log_level: str) -> ExitStatus:
         """Run an entry."""
         settings = load_settings(Path(config))
--- a/libs/cli/toucanlead/definition.py
+++ b/libs/cli/toucanlead/definition.py
@@ -25,6 +25,17 @@
         """
         return commands.demo(programs, log_level)
 
+    def bench(*, programs: int = 1500, seeds: int = 5, ablation: bool = True) -> ExitStatus:
+        """Compare the policies with baselines on replayed programs, in virtual time.
+
+        Writes build/bench.json; about fifteen minutes at full size.
+
+        :param programs: root programs of each run
+        :param seeds: runs of each cell
+        :param ablation: also switch off each mechanism alone
+        """
+        return commands.bench(programs, seeds, ablation)
+
     def entry(*, config: str, log_level: LogLevel = 'info') -> ExitStatus:
         """Run an entry until SIGTERM, then finish everything in progress and stop.
 
@@ -55,4 +66,10 @@
         """
         return commands.faults(seed, repeated, pairs, full)
 
-    return {'faults': faults, 'demo': demo, 'entry': entry, 'check-config': check_config}
+    return {
+        'bench': bench,
+        'faults': faults,
+        'demo': demo,
+        'entry': entry,
+        'check-config': check_config,
+    }
--- a/libs/entry/toucanlead_entry/loads.py
+++ b/libs/entry/toucanlead_entry/loads.py
@@ -35,7 +35,9 @@
         replica = self._ctx.fleet.replicas.get(name)
         report = await engine.load()
         if replica is not None:
-            replica.report(report.running, report.waiting, self._ctx.timers.now() - report.age_s)
+            share = report.cache_used_tokens / max(1, report.cache_limit_tokens)
+            taken_at = self._ctx.timers.now() - report.age_s
+            replica.report(report.running, report.waiting, taken_at, share)
         for event in await engine.events(self._since.get(name, 0)):
             self._since[name] = max(event.number, self._since.get(name, 0))
             self._ctx.beliefs.event(name, event.number, event.program_id, event.cached_tokens)
--- a/libs/entry/toucanlead_entry/model_calls.py
+++ b/libs/entry/toucanlead_entry/model_calls.py
@@ -1,6 +1,7 @@
 """Model calls: route, stream with progress timeouts, resume on another replica."""
 
 import asyncio
+import hashlib
 
 from attrs import define, field
 
@@ -16,6 +17,7 @@
 )
 from toucanlead_core.messages import Answer, Chunk, Message, count_tokens
 from toucanlead_policy.admission import admit_turn
+from toucanlead_policy.fleet import Prefilling
 from toucanlead_policy.priority import ProgramService, engine_priority
 from toucanlead_policy.retry import Breaker, RetryBudget, backoff_s
 from toucanlead_policy.routing import Choice, Turn
@@ -23,6 +25,7 @@
 
 from .context import Context
 from .live import LiveCall
+from .pauses import PauseKeeper
 from .spending import Spending
 from .waiting import with_progress
 
@@ -48,12 +51,14 @@
         self._spending = spending
         self._breaker = Breaker()
         self._retries = RetryBudget(ctx.preset.retry_share)
+        self.pauses = PauseKeeper(ctx)
         self.touched: dict[str, set[str]] = {}
 
     async def run(self, program: Program, live: LiveCall, opened_at: float) -> Answer:
         """Return the complete answer, or raise a Refusal that says whether it ran."""
         req = live.req
         self._admit(program)
+        self.pauses.ended(program)
         new_tokens = sum(count_tokens(m.content) for m in req.messages)
         progress = _Progress(new_tokens)
         await self._spending.reserve(program, live, new_tokens + req.max_tokens)
@@ -104,6 +109,9 @@
             prompt_tokens=sum(count_tokens(m.content) for m in messages),
             prompt_bytes=sum(len(m.content) for m in messages),
             max_tokens=live.req.max_tokens,
+            exported_tokens=self.pauses.exported_tokens(program.program_id),
+            group=_group_of(messages),
+            group_tokens=count_tokens(messages[0].content),
         )
         avoid = self._breaker.blocked(now) | progress.avoid
         choice = ctx.router.choose(turn, ctx.fleet, now, frozenset(avoid))
@@ -130,10 +138,12 @@
         self.touched.setdefault(program.program_id, set()).add(choice.replica)
         started_at = ctx.timers.now()
         served_s = None
-        replica.sent(prefill)
+        replica.sent(prefill, started_at)
+        prefilling = Prefilling(replica, prefill)
         progress.attempts += 1
         await ctx.reached(Step.SEND, program.program_id, live.req.seq)
         try:
+            await self.pauses.load(program.program_id, choice.replica)
             preset = ctx.preset
             source = with_progress(
                 engine.generate(req),
@@ -143,10 +153,12 @@
             )
             with live.sending():
                 async for item in source:
+                    prefilling.stop()
                     await self._take(item, program, live, progress, started_at)
             served_s = ctx.timers.now() - started_at
         finally:
-            replica.done(prefill, served_s)
+            prefilling.stop()
+            replica.done(ctx.timers.now(), served_s)
         self._breaker.succeeded(choice.replica)
 
     def _generate_req(
@@ -198,6 +210,9 @@
             program.program_id, choice.replica, choice.cached_tokens, end.cached_tokens
         )
         beliefs.answered(program.program_id, choice.replica, end.prompt_tokens, end.output_tokens)
+        group = _group_of([*program.history(), *live.req.messages][:1])
+        if group:
+            beliefs.group_seen(group, choice.replica)
         charged = 0 if progress.prompted else progress.new_tokens
         return Answer(
             program_id=program.program_id,
@@ -267,3 +282,10 @@
     ) -> Refusal:
         ran = Ran.UNKNOWN if live.touched_backend else Ran.NOT_RUN
         return Refusal(reason, detail, ran=ran, step=step, peer=peer, retry_after_ms=500)
+
+
+def _group_of(messages: list[Message]) -> str:
+    """Return a name for the common beginning of programs with this system message."""
+    if not messages or messages[0].role != 'system':
+        return ''
+    return hashlib.blake2b(messages[0].content.encode(), digest_size=8).hexdigest()
--- a/libs/entry/toucanlead_entry/owner.py
+++ b/libs/entry/toucanlead_entry/owner.py
@@ -20,7 +20,6 @@
 )
 from toucanlead_policy.admission import admit_program
 from toucanlead_policy.limits import TeamLimits, runaway
-from toucanlead_policy.retention import PauseModel
 from toucanlead_state.ledger import Ledger, Program
 from toucanlead_state.records import (
     Adopted,
@@ -71,7 +70,7 @@
         self.spending = Spending(ctx, self.ledger, self.journal)
         self.models = ModelCalls(ctx, self.ledger, self.spending)
         self.tools = ToolCalls(ctx, self.journal, self.spending)
-        self.pauses = PauseModel()
+        self.pauses = self.models.pauses
         self.lost: list[Record] = []
         self._ctx = ctx
         self._limits = TeamLimits()
@@ -265,6 +264,7 @@
         self.ledger.programs.pop(program_id, None)
         self._runtimes.pop(program_id, None)
         self.models.touched.pop(program_id, None)
+        self.pauses.forget(program_id)
 
     def _reopened(self, known: Program, team: str, digest: str) -> ProgramView:
         if known.opened.team != team:
@@ -282,7 +282,7 @@
             if parent.ended or self.runtime(spec.parent).ending:
                 raise Refusal(Reason.PROGRAM_ENDED, spec.parent)
             return
-        wait_s = admit_program(ctx.fleet, spec.model, ctx.preset)
+        wait_s = admit_program(ctx.fleet, spec.model, ctx.preset, spec.deadline_s)
         if wait_s is not None:
             raise Refusal(
                 Reason.OVERLOAD,
@@ -436,6 +436,8 @@
         finished = Finished(program.program_id, req.seq, live.digest, req, answer, grant)
         future = self.journal.append([finished])
         await self._ctx.reached(Step.RECORD, program.program_id, req.seq)
+        if req.kind is CallKind.MODEL:
+            self.pauses.began(program, answer)
         if await within(self._ctx.timers, future, self._ctx.preset.record_wait_s):
             return answer
         copied = self.copy_tail is not None and await self.copy_tail(finished, future)
--- /dev/null
+++ b/libs/entry/toucanlead_entry/pauses.py
@@ -0,0 +1,99 @@
+"""Pauses: what becomes of a program's cache between its model calls."""
+
+import structlog
+from attrs import frozen
+
+from toucanlead_core.errors import PeerError
+from toucanlead_core.messages import Answer
+from toucanlead_policy.retention import PauseModel, Retention, decide
+from toucanlead_state.ledger import Program
+
+from .context import Context
+
+log = structlog.get_logger()
+
+IMPORT_TOKENS_PER_S = 100_000.0
+FREE_SHARE = 0.5  # below this share of cache memory in use, keeping costs nothing
+PERSON = 'person'
+
+
+@frozen
+class Exported:
+    """A cache in an engine's slower memory, which any replica can load."""
+
+    handle: str
+    replica: str
+    tokens: int
+
+
+class PauseKeeper:
+    """Keeps, exports or releases caches, by predicted pause and memory in demand."""
+
+    def __init__(self, ctx: Context) -> None:
+        """Start without samples."""
+        self._ctx = ctx
+        self._pauses = PauseModel()
+        self._exported: dict[str, Exported] = {}
+        self._since: dict[str, tuple[str, float]] = {}
+
+    def began(self, program: Program, answer: Answer) -> None:
+        """A model call was answered; decide in the background."""
+        now = self._ctx.timers.now()
+        self._since[program.program_id] = (PERSON, now)
+        tokens = answer.prompt_tokens + answer.output_tokens
+        retention = self._decide(answer.replica, tokens)
+        if retention is not Retention.KEEP:
+            work = self._apply(retention, program.program_id, answer.replica, tokens)
+            self._ctx.tasks.spawn(work, f'pause {program.program_id}')
+
+    def ended(self, program: Program) -> None:
+        """The next model call begins; learn how long the pause was."""
+        kind, since = self._since.pop(program.program_id, (PERSON, None))
+        if since is not None:
+            self._pauses.observe(kind, self._ctx.timers.now() - since)
+
+    def exported_tokens(self, program_id: str) -> int:
+        """Return the tokens of an exported cache, 0 without one."""
+        exported = self._exported.get(program_id)
+        return exported.tokens if exported else 0
+
+    async def load(self, program_id: str, replica: str) -> None:
+        """Load an exported cache at the chosen replica; without it, prefill does."""
+        exported = self._exported.pop(program_id, None)
+        if exported is None:
+            return
+        try:
+            engine = self._ctx.backends.engines[replica]
+            await engine.import_cache(program_id, exported.handle)
+        except PeerError as exc:
+            log.info('import_failed', replica=replica, program=program_id, error=str(exc))
+
+    def forget(self, program_id: str) -> None:
+        """Drop what is known of a program that ended or moved."""
+        self._exported.pop(program_id, None)
+        self._since.pop(program_id, None)
+
+    def _decide(self, name: str, tokens: int) -> Retention:
+        replica = self._ctx.fleet.replicas.get(name)
+        if replica is None:
+            return Retention.KEEP
+        pressure = max(0.0, replica.cache_share - FREE_SHARE) / (1 - FREE_SHARE)
+        return decide(
+            self._pauses.expected_s(PERSON),
+            tokens / replica.prefill_tokens_per_s,
+            tokens / IMPORT_TOKENS_PER_S,
+            pressure / replica.slots,
+        )
+
+    async def _apply(self, retention: Retention, program_id: str, name: str, tokens: int) -> None:
+        engine = self._ctx.backends.engines[name]
+        try:
+            if retention is Retention.EXPORT:
+                handle = await engine.export_cache(program_id)
+                self._exported[program_id] = Exported(handle, name, tokens)
+            else:
+                await engine.release(program_id)
+        except PeerError as exc:
+            log.info('pause_failed', replica=name, program=program_id, error=str(exc))
+            return
+        self._ctx.beliefs.dropped(program_id, name)
--- a/libs/entry/toucanlead_entry/releaser.py
+++ b/libs/entry/toucanlead_entry/releaser.py
@@ -82,6 +82,7 @@
             for name in sorted(program.replicas | touched):
                 await self._release_at(owner, program_id, name)
             self._ctx.beliefs.forget(program_id)
+            owner.pauses.forget(program_id)
             await self._ctx.reached(Step.RELEASE, program_id, 0)
         except Fenced:
             log.info('release_left_to_new_owner', program=program_id)
--- a/libs/policy/toucanlead_policy/admission.py
+++ b/libs/policy/toucanlead_policy/admission.py
@@ -3,10 +3,13 @@
 from .fleet import Fleet
 from .preset import Preset
 
+ADMIT_DEADLINE_SHARE = 0.12  # a longer queue would make a new program late
 
-def admit_program(fleet: Fleet, model: str, preset: Preset) -> float | None:
+
+def admit_program(fleet: Fleet, model: str, preset: Preset, deadline_s: float) -> float | None:
     """Return seconds after which to try again, None to admit a new program."""
-    return _over(fleet.mean_queue_s(model), preset.admit_queue_s)
+    limit_s = min(preset.admit_queue_s, ADMIT_DEADLINE_SHARE * deadline_s)
+    return _over(fleet.mean_queue_s(model), limit_s)
 
 
 def admit_turn(fleet: Fleet, model: str, preset: Preset) -> float | None:
--- a/libs/policy/toucanlead_policy/beliefs.py
+++ b/libs/policy/toucanlead_policy/beliefs.py
@@ -69,6 +69,10 @@
         if known is not None and replica in known:
             known[replica] = min(known[replica], float(tokens))
 
+    def dropped(self, program_id: str, replica: str) -> None:
+        """Note that a replica was told to free a program's cache."""
+        self.holders(program_id).pop(replica, None)
+
     def forget(self, program_id: str) -> None:
         """Drop an ended program."""
         self._programs.pop(program_id, None)
--- a/libs/policy/toucanlead_policy/fleet.py
+++ b/libs/policy/toucanlead_policy/fleet.py
@@ -1,11 +1,21 @@
 """What an entry knows of each replica: capacity, load, errors, drains."""
 
 import math
+from collections import deque
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 ERROR_HALF_LIFE_S = 20.0
 SERVICE_SMOOTHING = 0.1
+OWN_LOG_ENTRIES = 128  # reports lag by a few seconds
+
+
+@frozen
+class OwnCount:
+    """How many requests of this entry were outstanding from a time on."""
+
+    at: float
+    own: int
 
 
 @define
@@ -28,18 +38,22 @@
     reported_at: float = -1e9
     cache_share: float = 0.0
     service_s: float = 2.0
+    _own_log: deque[OwnCount] = field(factory=lambda: deque(maxlen=OWN_LOG_ENTRIES))
     _errors: float = 0.0
     _errors_at: float = 0.0
 
-    def sent(self, tokens: float) -> None:
+    def sent(self, tokens: float, now: float) -> None:
         """Note a request on its way, with the tokens it is expected to prefill."""
-        self.own += 1
         self.own_tokens += tokens
+        self._count_own(1, now)
 
-    def done(self, tokens: float, service_s: float | None) -> None:
-        """Note its end, and how long the replica took."""
-        self.own -= 1
+    def prefilled(self, tokens: float) -> None:
+        """Note that its first token arrived, so that its prefill is over."""
         self.own_tokens -= tokens
+
+    def done(self, now: float, service_s: float | None) -> None:
+        """Note its end, and how long the replica took."""
+        self._count_own(-1, now)
         if service_s is not None:
             self.service_s += SERVICE_SMOOTHING * (service_s - self.service_s)
 
@@ -47,9 +61,20 @@
         """Apply a load report taken some time ago."""
         self.cache_share = cache_share
         self.reported = running + waiting
-        self.own_at_report = self.own
+        self.own_at_report = self._own_at(taken_at)
         self.reported_at = taken_at
 
+    def _count_own(self, change: int, now: float) -> None:
+        self.own += change
+        self._own_log.append(OwnCount(now, self.own))
+
+    def _own_at(self, when: float) -> int:
+        """Return how many requests of this entry were outstanding at a time."""
+        for entry in reversed(self._own_log):
+            if entry.at <= when:
+                return entry.own
+        return 0 if len(self._own_log) < OWN_LOG_ENTRIES else self.own
+
     def failed(self, now: float) -> None:
         """Note an error."""
         self._errors = self.errors(now) + 1.0
@@ -76,6 +101,19 @@
         return min(60.0, now - self.reported_at)
 
 
+@define
+class Prefilling:
+    """The prefill of one request, counted at its replica until it stops."""
+
+    replica: ReplicaState
+    tokens: float
+
+    def stop(self) -> None:
+        """Count it off, once."""
+        self.replica.prefilled(self.tokens)
+        self.tokens = 0.0
+
+
 @define
 class Fleet:
     """All replicas by model; picking candidates costs the same at any size."""
--- a/libs/standins/toucanlead_standins/engine_model.py
+++ b/libs/standins/toucanlead_standins/engine_model.py
@@ -55,8 +55,14 @@
 class EngineModel(ModelEngine):
     """One replica, usable directly or behind its HTTP front."""
 
-    def __init__(self, name: str, recorder: Recorder, rates: EngineRates | None = None) -> None:
-        """Take the replica's name, the recorder and the rates."""
+    def __init__(
+        self,
+        name: str,
+        recorder: Recorder,
+        rates: EngineRates | None = None,
+        exports: dict[str, list[Message]] | None = None,
+    ) -> None:
+        """Take the name, the recorder, the rates, and the replicas' slower memory."""
         self.name = name
         self.faults = EngineFaults()
         self.obeys_fence = True
@@ -67,7 +73,7 @@
         self._numbers = itertools.count(1)
         self._cache: OrderedDict[str, list[Message]] = OrderedDict()
         self._holds: set[str] = set()
-        self._exports: dict[str, list[Message]] = {}
+        self._exports: dict[str, list[Message]] = {} if exports is None else exports
         self._events: list[tuple[float, CacheEvent]] = []
         self._order = EngineOrder(fence=0, model='')
         self._report = (0.0, 0, 0)
@@ -107,7 +113,7 @@
     async def held(self) -> list[str]:
         """Return programs with cached or pinned tokens."""
         self._reachable()
-        return sorted(set(self._cache) | self._holds)
+        return sorted(set(self._cache) | self._holds | set(self._exports))
 
     async def hold(self, program_id: str) -> None:
         """Pin a program's cache."""
@@ -119,16 +125,17 @@
         """Free a program's cache."""
         self._reachable()
         self._holds.discard(program_id)
+        self._exports.pop(program_id, None)
         if self._cache.pop(program_id, None) is not None:
             self._publish(program_id, 0)
 
     async def export_cache(self, program_id: str) -> str:
         """Copy out, then free."""
         self._reachable()
-        handle = f'{self.name}/{program_id}'
-        self._exports[handle] = self._cache.get(program_id, [])
+        messages = self._cache.get(program_id, [])
         await self.release(program_id)
-        return handle
+        self._exports[program_id] = messages
+        return program_id
 
     async def import_cache(self, program_id: str, handle: str) -> None:
         """Load an exported cache."""
@@ -155,8 +162,9 @@
     def held_names(self) -> list[str]:
         """Return the callers' names of programs with cached or pinned tokens."""
         names = []
-        for program_id in set(self._cache) | self._holds:
-            texts = [m.content for m in self._cache.get(program_id, [])]
+        for program_id in {*self._cache, *self._holds, *self._exports}:
+            messages = self._cache.get(program_id) or self._exports.get(program_id, [])
+            texts = [m.content for m in messages]
             markers = [marker for marker in map(find_marker, texts) if marker]
             names.append(markers[0].program if markers else program_id)
         return sorted(names)
--- a/libs/trials/toucanlead_trials/bench.py
+++ b/libs/trials/toucanlead_trials/bench.py
@@ -116,6 +116,24 @@
     }
 
 
+def bench_cells(row: BenchRow) -> list:
+    """Return a row of the printed table."""
+    return [
+        row.customer,
+        row.load,
+        row.fault,
+        row.policy,
+        row.preset,
+        row.program_latency_s['p50'],
+        row.program_latency_s['p95'],
+        row.latency_p95_spread_s,
+        row.first_token_s_p95,
+        row.wasted_cache_ratio,
+        row.link_bytes_per_turn,
+        row.goodput,
+    ]
+
+
 def _conditions() -> Iterator[tuple[float, BenchFault]]:
     for load in LOADS:
         yield load, BenchFault.NONE
--- a/libs/trials/toucanlead_trials/bench_engine.py
+++ b/libs/trials/toucanlead_trials/bench_engine.py
@@ -62,7 +62,9 @@
     _cache: OrderedDict[str, int] = field(factory=OrderedDict)
     _groups: dict[str, int] = field(factory=dict)
     _active: dict[int, Job] = field(factory=dict)
+    on_evict: Callable[[str], None] = field(default=lambda program: None)
     _epoch: int = 0
+    _cached_tokens: int = 0
 
     @property
     def waiting(self) -> int:
@@ -72,7 +74,7 @@
     @property
     def cache_share(self) -> float:
         """Return the share of cache memory in use."""
-        return sum(self._cache.values()) / self.shape.cache_tokens
+        return self._cached_tokens / self.shape.cache_tokens
 
     def submit(self, job: Job) -> None:
         """Take a turn: to a slot, or to the queue by priority."""
@@ -84,7 +86,7 @@
 
     def release(self, program: str) -> None:
         """Free a program's cache."""
-        self._cache.pop(program, None)
+        self._cached_tokens -= self._cache.pop(program, 0)
 
     def cached(self, program: str) -> int:
         """Return the tokens cached of a program."""
@@ -98,6 +100,7 @@
         self._queue.clear()
         self._active.clear()
         self._cache.clear()
+        self._cached_tokens = 0
         self._groups.clear()
         self.running = 0
         for job in broken:
@@ -146,10 +149,12 @@
         self._fill()
 
     def _store(self, job: Job) -> None:
-        self._cache[job.program] = job.prompt_tokens + job.output_tokens
+        tokens = job.prompt_tokens + job.output_tokens
+        self._cached_tokens += tokens - self._cache.get(job.program, 0)
+        self._cache[job.program] = tokens
         self._cache.move_to_end(job.program)
         self._groups[job.group] = job.system_tokens
-        total = sum(self._cache.values())
-        while total > self.shape.cache_tokens and len(self._cache) > 1:
-            _, tokens = self._cache.popitem(last=False)
-            total -= tokens
+        while self._cached_tokens > self.shape.cache_tokens and len(self._cache) > 1:
+            victim, tokens = self._cache.popitem(last=False)
+            self._cached_tokens -= tokens
+            self.on_evict(victim)
--- a/libs/trials/toucanlead_trials/bench_run.py
+++ b/libs/trials/toucanlead_trials/bench_run.py
@@ -1,5 +1,6 @@
 """One benchmark run: programs of a workload through entries and replicas."""
 
+import functools
 import random
 from enum import Enum
 
@@ -8,7 +9,7 @@
 from toucanlead_core.messages import CallKind, count_tokens
 from toucanlead_policy.admission import admit_program
 from toucanlead_policy.beliefs import CacheBeliefs
-from toucanlead_policy.fleet import Fleet, ReplicaState
+from toucanlead_policy.fleet import Fleet, Prefilling, ReplicaState
 from toucanlead_policy.priority import ProgramService, engine_priority
 from toucanlead_policy.retention import PauseModel, Retention, decide
 from toucanlead_policy.routing import Choice, Router, Turn
@@ -17,7 +18,7 @@
 from .bench_policy import BenchPolicy
 from .event_loop import EventLoop
 from .statistics import mean, percentile
-from .trace import TraceProgram
+from .trace import TraceCall, TraceProgram
 from .workload import Shape, make_programs
 
 ENTRIES = 4
@@ -30,8 +31,8 @@
 EVENT_DELAY_S = 0.5
 RETRY_S = 0.1
 TOKEN_SCALE = 10  # recorded texts are short; agents' inputs carry whole notes
-FAULT_AT_S = 60.0
 FAULT_S = 60.0
+WARM_UP_SHARE = 0.4  # of the arrivals, before programs are measured
 
 
 class BenchFault(str, Enum):
@@ -115,6 +116,8 @@
         self._engines = {
             f'r{i}': BenchEngine(f'r{i}', self._loop, cell.engine) for i in range(cell.replicas)
         }
+        for engine in self._engines.values():
+            engine.on_evict = lambda program, name=engine.name: self._evicted(name, program)
         self._entries = [self._make_entry(i) for i in range(ENTRIES)]
         self._computed: dict[str, int] = {}
         self._computed_groups: set[str] = set()
@@ -136,18 +139,22 @@
         """Play all programs and return the figures."""
         cell = self._cell
         rate = cell.load * capacity_per_s(cell.shape, cell.replicas, cell.engine)
-        programs = make_programs(cell.shape, cell.programs, cell.seed, rate_per_s=rate)
+        programs = workload(cell.shape, cell.programs, cell.seed)
         children: dict[str, list[TraceProgram]] = {}
         for program in programs:
             if program.parent is not None:
                 children.setdefault(program.parent, []).append(program)
-        for number, program in enumerate(p for p in programs if p.parent is None):
-            run = self._make_run(program, None, number % ENTRIES)
+        roots = [p for p in programs if p.parent is None]
+        for number, program in enumerate(roots):
+            start_s = program.start_s / rate
+            run = self._make_run(program, None, number % ENTRIES, start_s)
             run.children = [
-                self._make_run(c, run, run.entry) for c in children.get(program.name, [])
+                self._make_run(c, run, run.entry, start_s) for c in children.get(program.name, [])
             ]
-            self._loop.at(program.start_s, lambda run=run: self._admit(run))
-        last_s = max(p.start_s for p in programs)
+            self._loop.at(start_s, lambda run=run: self._admit(run))
+        last_s = roots[-1].start_s / rate
+        self._measure_from_s = WARM_UP_SHARE * last_s
+        self._measure_to_s = last_s
         self._loop.after(0.0, self._report_loads)
         self._schedule_fault()
         self._stop_reports_at = last_s + 3000.0
@@ -173,15 +180,19 @@
             )
         return _Entry(self._cell.policy.make_router(beliefs, rng), beliefs, fleet)
 
-    def _make_run(self, program: TraceProgram, root: _Run | None, entry: int) -> _Run:
+    def _make_run(
+        self, program: TraceProgram, root: _Run | None, entry: int, start_s: float
+    ) -> _Run:
         system = self._cell.shape.system_tokens * TOKEN_SCALE
-        return _Run(program, root, entry, program.start_s, system)
+        return _Run(program, root, entry, start_s, system)
 
     def _admit(self, run: _Run) -> None:
         entry = self._entries[run.entry]
         policy = self._cell.policy
         if policy.admission:
-            wait_s = admit_program(entry.fleet, run.program.model, policy.preset)
+            wait_s = admit_program(
+                entry.fleet, run.program.model, policy.preset, self._deadline_s(run)
+            )
             if wait_s is not None and self._loop.now < run.opened_at + self._deadline_s(run):
                 self._loop.after(1.0 + wait_s * self._rng.random(), lambda: self._admit(run))
                 return
@@ -244,7 +255,8 @@
         call = run.program.calls[run.next_call]
         replica = entry.fleet.replicas[choice.replica]
         prefill = max(0.0, run.history_tokens - choice.cached_tokens)
-        replica.sent(prefill)
+        replica.sent(prefill, self._loop.now)
+        prefilling = Prefilling(replica, prefill)
         sent_at = self._loop.now
         imported = run.exported_tokens
         if self._cell.clairvoyant:
@@ -257,16 +269,21 @@
             call.output_tokens,
             self._priority(run),
             imported,
-            lambda: self._first_tokens.append(self._loop.now - run.asked_at),
-            lambda result: self._done(run, choice, prefill, sent_at, result, avoid),
+            lambda: self._first_token(run, prefilling),
+            lambda result: self._done(run, choice, prefilling, sent_at, result, avoid),
         )
         self._engines[choice.replica].submit(job)
 
+    def _first_token(self, run: _Run, prefilling: Prefilling) -> None:
+        prefilling.stop()
+        if run.opened_at >= self._measure_from_s:
+            self._first_tokens.append(self._loop.now - run.asked_at)
+
     def _done(
         self,
         run: _Run,
         choice: Choice,
-        prefill: float,
+        prefilling: Prefilling,
         sent_at: float,
         result: JobResult,
         avoid: frozenset[str],
@@ -274,7 +291,8 @@
         entry = self._entries[run.entry]
         replica = entry.fleet.replicas[choice.replica]
         now = self._loop.now
-        replica.done(prefill, None if result.failed else now - sent_at)
+        prefilling.stop()
+        replica.done(now, None if result.failed else now - sent_at)
         if result.failed:
             replica.failed(now)
             self._loop.after(RETRY_S, lambda: self._route(run, avoid | frozenset([choice.replica])))
@@ -301,7 +319,10 @@
         known = self._computed.get(name, 0)
         if known == 0 and self._cell.shape.customer in self._computed_groups:
             known = run.system_tokens
-        self._prompt_tokens += run.history_tokens
+        if run.opened_at < self._measure_from_s:
+            known = 0
+        else:
+            self._prompt_tokens += run.history_tokens
         reused = run.history_tokens - result.prefilled
         self._wasted_tokens += max(0, min(known, run.history_tokens) - reused)
         call = run.program.calls[run.next_call]
@@ -330,9 +351,11 @@
             if run.root.waiting_for == 0:
                 self._advance(run.root)
             return
+        self._finished += 1
+        if run.opened_at < self._measure_from_s:
+            return
         latency_s = self._loop.now - run.opened_at - run.paused_s
         self._latencies.append(latency_s)
-        self._finished += 1
         if latency_s <= self._deadline_s(run):
             self._in_deadline += 1
 
@@ -375,7 +398,7 @@
 
     def _new_tokens(self, run: _Run) -> int:
         call = run.program.calls[run.next_call]
-        return sum(count_tokens(m.content) for m in call.messages) * TOKEN_SCALE
+        return new_tokens(call)
 
     def _deadline_s(self, run: _Run) -> float:
         ideal = sum(_service_s(c, self._cell.engine) for c in run.program.calls)
@@ -401,26 +424,32 @@
                         state.own_at_report = 0
 
         self._loop.after(self._report_delay_s, deliver)
-        if not self._events_lost:
-            self._loop.after(EVENT_DELAY_S, self._deliver_events)
         if self._loop.now < self._stop_reports_at:
             self._loop.after(REPORT_PERIOD_S, self._report_loads)
 
-    def _deliver_events(self) -> None:
-        for entry in self._entries:
-            for program, known in entry.beliefs.items():
-                for name in list(known):
-                    known[name] = min(known[name], float(self._engines[name].cached(program)))
+    def _evicted(self, replica: str, program: str) -> None:
+        """Publish an eviction late, unless events are being lost."""
+        if self._events_lost:
+            return
+
+        def deliver() -> None:
+            for entry in self._entries:
+                known = entry.beliefs.holders(program)
+                if replica in known:
+                    known[replica] = float(self._engines[replica].cached(program))
+
+        self._loop.after(EVENT_DELAY_S, deliver)
 
     def _schedule_fault(self) -> None:
         first = next(iter(self._engines.values()))
+        begin = self._measure_from_s + FAULT_S
         match self._cell.fault:
             case BenchFault.REPLICA_DIES:
-                self._loop.at(FAULT_AT_S, first.die)
-                self._loop.at(FAULT_AT_S + FAULT_S, first.come_back)
+                self._loop.at(begin, first.die)
+                self._loop.at(begin + FAULT_S, first.come_back)
             case BenchFault.REPLICA_SLOW:
-                self._loop.at(FAULT_AT_S, lambda: setattr(first, 'slowness', 5.0))
-                self._loop.at(FAULT_AT_S + FAULT_S, lambda: setattr(first, 'slowness', 1.0))
+                self._loop.at(begin, lambda: setattr(first, 'slowness', 5.0))
+                self._loop.at(begin + FAULT_S, lambda: setattr(first, 'slowness', 1.0))
             case BenchFault.LINK_HALVED:
                 self._link_rate = LINK_BYTES_PER_S / 2
             case BenchFault.EVENTS_GAPPED:
@@ -436,7 +465,7 @@
             self._wasted_tokens / max(1, self._prompt_tokens),
             self._link_bytes / turns,
             self._full_bytes / turns,
-            self._in_deadline / last_s,
+            self._in_deadline / (last_s - self._measure_from_s),
             self._finished,
         )
 
@@ -452,16 +481,37 @@
     return BenchSite(evolve(cell, engine=engine, clairvoyant=True)).run()
 
 
+@functools.cache
+def workload(shape: Shape, count: int, seed: int) -> list[TraceProgram]:
+    """Return programs that arrive at one a second, without their texts."""
+    programs = make_programs(shape, count, seed, rate_per_s=1.0)
+    return [evolve(p, calls=[_textless(c) for c in p.calls]) for p in programs]
+
+
+def new_tokens(call: TraceCall) -> int:
+    """Return the tokens of a call's new input."""
+    return int(call.args['new_tokens']) if call.kind is CallKind.MODEL else 0
+
+
+def _textless(call: TraceCall) -> TraceCall:
+    if call.kind is not CallKind.MODEL:
+        return call
+    tokens = sum(count_tokens(m.content) for m in call.messages) * TOKEN_SCALE
+    return evolve(call, messages=[], args={'new_tokens': tokens})
+
+
+@functools.cache
 def capacity_per_s(shape: Shape, replicas: int, engine: EngineShape) -> float:
     """Return the programs a second that all slots can serve with every prefix cached."""
-    sample = make_programs(shape, 200, 0, rate_per_s=1.0)
+    sample = workload(shape, 200, 0)
     per_root = mean([sum(_service_s(c, engine) for c in p.calls) for p in sample])
     roots = sum(1 for p in sample if p.parent is None)
     return replicas * engine.slots / (per_root * len(sample) / roots)
 
 
-def _service_s(call, engine: EngineShape) -> float:
+def _service_s(call: TraceCall, engine: EngineShape) -> float:
     if call.kind is not CallKind.MODEL:
         return 0.0
-    tokens = sum(count_tokens(m.content) for m in call.messages) * TOKEN_SCALE
-    return tokens / engine.prefill_tokens_per_s + call.output_tokens * engine.decode_token_s
+    return (
+        new_tokens(call) / engine.prefill_tokens_per_s + call.output_tokens * engine.decode_token_s
+    )
--- a/libs/trials/toucanlead_trials/site.py
+++ b/libs/trials/toucanlead_trials/site.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from attrs import define, field, frozen
 
+from toucanlead_core.messages import Message
 from toucanlead_entry.auth import key_digest
 from toucanlead_entry.context import Pacing
 from toucanlead_entry.daemon import Daemon
@@ -97,6 +98,7 @@
     plan: SitePlan
     recorder: Recorder = field(factory=Recorder)
     link: Link = field(factory=lambda: Link(REGION_LATENCY_S, LINK_BYTES_PER_S))
+    exports: dict[str, list[Message]] = field(factory=dict)
     kv: KvModel | None = None
     engines: list[EngineModel] = field(factory=list)
     tools: ToolModel | None = None
@@ -204,7 +206,8 @@
     async def _start_backends(self) -> None:
         for number in range(self.plan.engines):
             name = f'{self.shape.model}-{number}'
-            engine = EngineModel(name, self.recorder, EngineRates(decode_token_s=DECODE_TOKEN_S))
+            rates = EngineRates(decode_token_s=DECODE_TOKEN_S)
+            engine = EngineModel(name, self.recorder, rates, self.exports)
             self.engines.append(engine)
             await self._serve(name, EngineServer(engine).app())
         prices = dict.fromkeys([*EFFECT_TOOLS, self.shape.lookup], TOOL_PRICE)
--- a/libs/trials/toucanlead_trials/virtual_site.py
+++ b/libs/trials/toucanlead_trials/virtual_site.py
@@ -98,6 +98,9 @@
     engine_gates: dict[str, Gate] = field(factory=dict)
     entries: dict[str, VirtualEntry] = field(factory=dict)
     leaving: set[str] = field(factory=set)
+    # So little cache that pauses are decided about under pressure.
+    rates: EngineRates = field(factory=lambda: EngineRates(cache_limit_tokens=150))
+    exports: dict[str, list[Message]] = field(factory=dict)
     places: dict[str, Place] = field(factory=lambda: dict(ENTRY_PLACES))
     pacing: Pacing = field(factory=lambda: Pacing(forward_wait_s=12.0))
     kv: KvModel = field(init=False)
@@ -119,7 +122,7 @@
         self.tools = ToolModel('tools', self.recorder, prices=prices)
         for number, zone in enumerate(('centro-a', 'centro-b', 'centro-b')):
             name = f'{self.shape.model}-{number}'
-            self.engines[name] = EngineModel(name, self.recorder, EngineRates())
+            self.engines[name] = EngineModel(name, self.recorder, self.rates, self.exports)
             self.engine_gates[name] = Gate(name, Place(HOME, zone))
 
     async def start(self) -> None:
