--- /dev/null
+++ b/libs/cli/toucanlead/admin.py
@@ -0,0 +1,126 @@
+"""Execution of the operators' commands."""
+
+import json
+import time
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from toucanlead_trials.report import table
+
+from .client import AdminClient, AdminError
+from .environment import Environment
+from .status import ExitStatus
+
+SERVER_VARIABLE = 'TOUCANLEAD_SERVER'
+KEY_VARIABLE = 'TOUCANLEAD_KEY'
+DEFAULT_SERVER = '127.0.0.1:8082'
+WAIT_LIMIT_S = 60.0
+WAIT_STEP_S = 0.3
+
+
+class AdminCommands:
+    """What each operators' command does; server and key come from variables."""
+
+    def __init__(self, env: Environment) -> None:
+        """Take all outside state."""
+        self._env = env
+
+    def status(self) -> ExitStatus:
+        """Print the state of an entry."""
+        document = self._client().request('GET', '/admin/status').document
+        replicas = document.pop('replicas')
+        self._env.say(table(['what', 'value'], [[k, _text(v)] for k, v in document.items()]))
+        rows = [[name, r['outstanding'], r['leaving']] for name, r in replicas.items()]
+        if rows:
+            self._env.say(table(['replica', 'outstanding', 'leaving'], rows))
+        return ExitStatus.SUCCESS
+
+    def preset(self, action: str, name: str, file: str, base: str, wait: bool) -> ExitStatus:
+        """Run one of the preset actions."""
+        client = self._client()
+        if action == 'list':
+            document = client.request('GET', '/admin/presets').document
+            for one in document['presets']:
+                mark = '*' if one == document['in_force'] else ' '
+                self._env.say(f'{mark} {one}')
+            return ExitStatus.SUCCESS
+        if action == 'show':
+            return self._print(client.request('GET', f'/admin/presets/{name}').document)
+        if action == 'history':
+            rows = client.request('GET', '/admin/config/history').document['history']
+            cells = [[r['revision'], r['preset'], r['author'], r['summary']] for r in rows]
+            self._env.say(table(['revision', 'preset', 'author', 'change'], cells))
+            return ExitStatus.SUCCESS
+        if action == 'diff':
+            before, _, after = name.partition('..')
+            path = f'/admin/config/diff/{before}/{after}'
+            return self._print(client.request('GET', path).document['changes'])
+        if action == 'put':
+            body = tomllib.loads(Path(file).read_text(encoding='utf-8'))
+            reply = client.request('PUT', f'/admin/presets/{name}', body, base or None)
+        else:
+            path = f'/admin/presets/{name}/activate'
+            reply = client.request('POST', path, None, base or None)
+        return self._accepted(client, reply.document['revision'], wait)
+
+    def drain(self, address: str, lift: bool, wait: bool) -> ExitStatus:
+        """Drain a backend server, or lift its drain."""
+        client = self._client()
+        method = 'DELETE' if lift else 'PUT'
+        reply = client.request(method, f'/admin/drains/{address}')
+        return self._accepted(client, reply.document['revision'], wait)
+
+    def program(self, action: str, team: str, program: str) -> ExitStatus:
+        """Show or end a program."""
+        method = 'DELETE' if action == 'end' else 'GET'
+        path = f'/admin/programs/{team}/{program}'
+        return self._print(self._client().request(method, path).document)
+
+    def doubt(self, action: str, program: str, seq: int, ran: str, content: str) -> ExitStatus:
+        """List calls in doubt, or settle one."""
+        client = self._client()
+        if action == 'list':
+            document = client.request('GET', '/admin/doubts').document
+            rows = [[d['program_id'], d['seq'], d['team'], d['tool']] for d in document['doubts']]
+            self._env.say(table(['program', 'seq', 'team', 'tool'], rows))
+            for entry in document['unread']:
+                self._env.warn(f'{entry} could not be asked')
+            return ExitStatus.SUCCESS
+        if ran not in ('yes', 'no'):
+            raise AdminError('--ran yes or --ran no says what became of the call')
+        body = {'content': content if ran == 'yes' else None}
+        client.request('POST', f'/admin/doubts/{program}/{seq}', body)
+        self._env.say(f'{program} call {seq}: settled')
+        return ExitStatus.SUCCESS
+
+    def _accepted(self, client: AdminClient, revision: int, wait: bool) -> ExitStatus:
+        self._env.say(f'revision {revision} accepted')
+        if not wait:
+            return ExitStatus.SUCCESS
+        deadline = self._env.clock() + WAIT_LIMIT_S
+        while True:
+            entries = client.request('GET', '/admin/config/rollout').document['entries']
+            behind = [n for n, at in entries.items() if at is None or at < revision]
+            self._env.warn(f'in force at {len(entries) - len(behind)} of {len(entries)} entries')
+            if not behind:
+                return ExitStatus.SUCCESS
+            if self._env.clock() > deadline:
+                self._env.warn('not in force at: ' + ' '.join(behind))
+                return ExitStatus.ERROR
+            time.sleep(WAIT_STEP_S)
+
+    def _print(self, document: Any) -> ExitStatus:
+        self._env.say(json.dumps(document, indent=1, ensure_ascii=False))
+        return ExitStatus.SUCCESS
+
+    def _client(self) -> AdminClient:
+        variables = self._env.variables
+        key = variables.get(KEY_VARIABLE, '')
+        if not key:
+            raise AdminError(f'set {KEY_VARIABLE} to an operator key')
+        return AdminClient(variables.get(SERVER_VARIABLE, DEFAULT_SERVER), key)
+
+
+def _text(value: Any) -> str:
+    return ' '.join(value) if isinstance(value, list) else str(value)
--- /dev/null
+++ b/libs/cli/toucanlead/client.py
@@ -0,0 +1,62 @@
+"""Client of the administration API."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+import orjson
+from attrs import frozen
+
+TIMEOUT_S = 30.0
+
+
+class AdminError(Exception):
+    """The entry refused, or could not be reached; the text is for the operator."""
+
+
+@frozen
+class AdminReply:
+    """A document, and the configuration's revision when it was read."""
+
+    document: dict[str, Any]
+    revision: str
+
+
+class AdminClient:
+    """Makes one request at a time to an entry's administration port."""
+
+    def __init__(self, server: str, key: str) -> None:
+        """Take the host:port and the operator's key."""
+        self._server = server
+        self._key = key
+
+    def request(
+        self, method: str, path: str, body: Any = None, base: str | None = None
+    ) -> AdminReply:
+        """Make a request; raise AdminError with the refusal's words."""
+        return asyncio.run(self._request(method, path, body, base))
+
+    async def _request(self, method: str, path: str, body: Any, base: str | None) -> AdminReply:
+        headers = {'Authorization': f'Bearer {self._key}'}
+        if base is not None:
+            headers['If-Match'] = base
+        url = f'http://{self._server}{path}'
+        timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.request(method, url, json=body, headers=headers) as resp,
+            ):
+                text = await resp.read()
+                document = orjson.loads(text) if 'json' in resp.content_type else {}
+                if resp.status >= 400:
+                    raise AdminError(_words(resp.status, document))
+                return AdminReply(document, resp.headers.get('ETag', ''))
+        except (aiohttp.ClientError, asyncio.TimeoutError) as exc:
+            raise AdminError(f'{self._server}: {exc or "no answer"}') from None
+
+
+def _words(status: int, document: dict[str, Any]) -> str:
+    title = document.get('title', f'status {status}')
+    detail = document.get('detail', '')
+    return f'{title}: {detail}' if detail else title
--- a/libs/cli/toucanlead/core.py
+++ b/libs/cli/toucanlead/core.py
@@ -7,6 +7,8 @@
 from toucanlead_entry.settings import SettingsError
 
 from . import __version__
+from .admin import AdminCommands
+from .client import AdminError
 from .commands import Commands
 from .definition import build
 from .environment import Environment
@@ -18,7 +20,7 @@
     if args == ['--version']:
         env.say(f'toucanlead {__version__}')
         return ExitStatus.SUCCESS
-    commands = build(Commands(env))
+    commands = build(Commands(env), AdminCommands(env))
     try:
         with contextlib.redirect_stdout(env.stdout), contextlib.redirect_stderr(env.stderr):
             return defopt.run(commands, argv=args or ['--help'])
@@ -26,6 +28,9 @@
         for error in exc.errors:
             env.warn(f'{exc.source}: {error}')
         return ExitStatus.BAD_CONFIG
+    except AdminError as exc:
+        env.warn(f'toucanlead: {exc}')
+        return ExitStatus.REFUSED
     except KeyboardInterrupt:
         return ExitStatus.INTERRUPTED
     except SystemExit as exc:
--- a/libs/cli/toucanlead/definition.py
+++ b/libs/cli/toucanlead/definition.py
@@ -6,13 +6,17 @@
 from collections.abc import Callable
 from typing import Literal
 
+from .admin import AdminCommands
 from .commands import Commands
 from .status import ExitStatus
 
 LogLevel = Literal['debug', 'info', 'warning', 'error']
+PresetAction = Literal['list', 'show', 'put', 'activate', 'diff', 'history']
+ProgramAction = Literal['show', 'end']
+DoubtAction = Literal['list', 'resolve']
 
 
-def build(commands: Commands) -> dict[str, Callable]:
+def build(commands: Commands, admin: AdminCommands) -> dict[str, Callable]:
     """Return the commands by name, bound to what executes them."""
 
     def demo(*, programs: int = 0, log_level: LogLevel = 'error') -> ExitStatus:
@@ -44,6 +48,69 @@
         """
         return commands.entry(config, log_level)
 
+    def status() -> ExitStatus:
+        """Show an entry: slots, programs, load, preset in force, age of its knowledge.
+
+        The operators' commands ask the entry named by the variable
+        TOUCANLEAD_SERVER (host:port of the administration port) with the
+        key in TOUCANLEAD_KEY.
+        """
+        return admin.status()
+
+    def preset(
+        action: PresetAction,
+        name: str = '',
+        *,
+        file: str = '',
+        base: str = '',
+        wait: bool = False,
+    ) -> ExitStatus:
+        """List, show, put or activate presets; see what changed.
+
+        :param action: list, show NAME, put NAME, activate NAME, diff A..B, history
+        :param name: the preset, or two revisions for diff
+        :param file: with put, a TOML file with the preset's values
+        :param base: the revision that the change builds on; refused if another is in force
+        :param wait: wait until the change is in force at every entry, and show progress
+        """
+        return admin.preset(action, name, file, base, wait)
+
+    def drain(address: str, *, lift: bool = False, wait: bool = False) -> ExitStatus:
+        """Give a backend server no new work, until the drain is lifted.
+
+        :param address: host:port of the backend server
+        :param lift: lift the drain
+        :param wait: wait until this is in force at every entry
+        """
+        return admin.drain(address, lift, wait)
+
+    def program(action: ProgramAction, team: str, program: str) -> ExitStatus:
+        """Show or end a program.
+
+        :param action: show or end
+        :param team: the team that opened it
+        :param program: its id
+        """
+        return admin.program(action, team, program)
+
+    def doubt(
+        action: DoubtAction,
+        program: str = '',
+        seq: int = 0,
+        *,
+        ran: str = '',
+        content: str = '',
+    ) -> ExitStatus:
+        """List calls whose outcome is unknown, or settle one.
+
+        :param action: list or resolve
+        :param program: with resolve, the program's id
+        :param seq: with resolve, the call's number
+        :param ran: with resolve, yes or no: whether the tool performed the call
+        :param content: with --ran yes, the tool's answer
+        """
+        return admin.doubt(action, program, seq, ran, content)
+
     def check_config(file: str) -> ExitStatus:
         """Check a settings file and name every error in it.
 
@@ -67,6 +134,11 @@
         return commands.faults(seed, repeated, pairs, full)
 
     return {
+        'status': status,
+        'preset': preset,
+        'drain': drain,
+        'program': program,
+        'doubt': doubt,
         'bench': bench,
         'faults': faults,
         'demo': demo,
--- a/libs/entry/toucanlead_entry/admin_api.py
+++ b/libs/entry/toucanlead_entry/admin_api.py
@@ -33,7 +33,7 @@
 
     async def status(self, req: web.Request) -> web.Response:
         """GET /admin/status."""
-        self._keys.check_admin(req)
+        self._keys.check_viewer(req)
         return _json(entry_status(self._entry))
 
     async def doubts(self, req: web.Request) -> web.Response:
@@ -105,6 +105,9 @@
         'doubts': len(owner.doubts()) if owner else 0,
         'tails_kept': entry.tails.kept,
         'preset': entry.ctx.preset.name,
+        'config_revision': entry.config.head.revision,
+        'config_in_force_s': round(now - entry.config.in_force_since, 3),
+        'config_age_s': round(now - entry.config.heard_at, 3),
         'replicas': {
             name: {'outstanding': state.outstanding(), 'leaving': state.leaving}
             for name, state in sorted(entry.ctx.fleet.replicas.items())
--- a/libs/entry/toucanlead_entry/coalesce.py
+++ b/libs/entry/toucanlead_entry/coalesce.py
@@ -6,6 +6,8 @@
 from toucanlead_core.messages import Chunk
 from toucanlead_peer.messages import Frame
 
+from .live import joined
+
 WINDOW_S = 0.005  # added delay per frame at most
 _END = None
 
@@ -19,7 +21,7 @@
         while True:
             item = await _next(queue, held is not None)
             if isinstance(item, Chunk):
-                held = _join(held, item)
+                held = joined([held, item]) if held is not None else item
                 continue
             if held is not None:
                 yield held
@@ -56,9 +58,3 @@
         queue.put_nowait(_END)
     except Exception as exc:
         queue.put_nowait(exc)
-
-
-def _join(held: Chunk | None, item: Chunk) -> Chunk:
-    if held is None:
-        return item
-    return Chunk(held.offset, held.text + item.text, held.tokens + item.tokens)
--- /dev/null
+++ b/libs/entry/toucanlead_entry/config_api.py
@@ -0,0 +1,191 @@
+"""Administration of the configuration: presets, teams, history, roll-out."""
+
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from toucanlead_core.codec import converter, from_json, to_json
+from toucanlead_core.errors import PeerError, Reason, Refusal
+from toucanlead_peer.messages import ProbeReq
+from toucanlead_policy.preset import Preset
+
+from .auth import KeyRing
+from .config_keeper import ConfigKeeper
+from .config_records import DRAINS_SECTION, ConfigHead, TeamEntry, preset_section, team_section
+from .entry import Entry
+
+
+class ConfigApi:
+    """Routes for presets and teams; changes name the revision they build on."""
+
+    def __init__(self, entry: Entry, keys: KeyRing) -> None:
+        """Take the entry that serves."""
+        self._entry = entry
+        self._keys = keys
+
+    @property
+    def _config(self) -> ConfigKeeper:
+        return self._entry.config
+
+    def add_routes(self, app: web.Application) -> None:
+        """Register all routes."""
+        app.router.add_get('/admin/presets', self.list)
+        app.router.add_get('/admin/presets/{name}', self.show)
+        app.router.add_put('/admin/presets/{name}', self.put)
+        app.router.add_post('/admin/presets/{name}/activate', self.activate)
+        app.router.add_get('/admin/config/history', self.history)
+        app.router.add_get('/admin/config/diff/{before}/{after}', self.diff)
+        app.router.add_get('/admin/config/rollout', self.rollout)
+        app.router.add_put('/admin/teams/{team}', self.put_team)
+        app.router.add_put('/admin/drains/{address}', self.drain)
+        app.router.add_delete('/admin/drains/{address}', self.undrain)
+        app.router.add_get('/admin/teams', self.teams)
+
+    async def list(self, req: web.Request) -> web.Response:
+        """GET /admin/presets."""
+        self._keys.check_viewer(req)
+        names = sorted(self._config.presets())
+        return _json({'in_force': self._config.head.preset, 'presets': names}, self._config)
+
+    async def show(self, req: web.Request) -> web.Response:
+        """GET /admin/presets/{name}."""
+        self._keys.check_viewer(req)
+        preset = self._config.presets().get(req.match_info['name'])
+        if preset is None:
+            raise Refusal(Reason.BAD_REQUEST, f'no preset named {req.match_info["name"]!r}')
+        return _json(converter.unstructure(preset), self._config)
+
+    async def put(self, req: web.Request) -> web.Response:
+        """PUT /admin/presets/{name}."""
+        author = self._keys.check_admin(req)
+        name = req.match_info['name']
+        body = await _object(req)
+        body['name'] = name
+        try:
+            preset = from_json(orjson.dumps(body), Preset)
+        except ValueError as exc:
+            raise Refusal(Reason.BAD_REQUEST, str(exc)) from None
+        sections = {preset_section(name): to_json(preset)}
+        return await self._change(req, sections, None, author, f'put preset {name}')
+
+    async def activate(self, req: web.Request) -> web.Response:
+        """POST /admin/presets/{name}/activate."""
+        author = self._keys.check_admin(req)
+        name = req.match_info['name']
+        return await self._change(req, {}, name, author, f'activate preset {name}')
+
+    async def put_team(self, req: web.Request) -> web.Response:
+        """PUT /admin/teams/{team}: its key digests, several during a rotation."""
+        author = self._keys.check_admin(req)
+        name = req.match_info['team']
+        body = await _object(req)
+        try:
+            team = from_json(orjson.dumps({**body, 'name': name}), TeamEntry)
+        except ValueError as exc:
+            raise Refusal(Reason.BAD_REQUEST, str(exc)) from None
+        section = team_section(name)
+        text = self._config.section(section)
+        group = from_json(text.encode(), list[TeamEntry]) if text else []
+        group = sorted([*(t for t in group if t.name != name), team], key=lambda t: t.name)
+        return await self._change(req, {section: to_json(group)}, None, author, f'put team {name}')
+
+    async def teams(self, req: web.Request) -> web.Response:
+        """GET /admin/teams."""
+        self._keys.check_viewer(req)
+        return _json({'teams': [team.name for team in self._config.teams()]}, self._config)
+
+    async def drain(self, req: web.Request) -> web.Response:
+        """PUT /admin/drains/{address}: a backend server gets no new work."""
+        return await self._set_drain(req, wanted=True)
+
+    async def undrain(self, req: web.Request) -> web.Response:
+        """DELETE /admin/drains/{address}."""
+        return await self._set_drain(req, wanted=False)
+
+    async def _set_drain(self, req: web.Request, *, wanted: bool) -> web.Response:
+        author = self._keys.check_admin(req)
+        address = req.match_info['address']
+        others = [a for a in self._config.drains() if a != address]
+        content = to_json(sorted([*others, address]) if wanted else others)
+        summary = f'{"drain" if wanted else "undrain"} {address}'
+        return await self._change(req, {DRAINS_SECTION: content}, None, author, summary)
+
+    async def history(self, req: web.Request) -> web.Response:
+        """GET /admin/config/history."""
+        self._keys.check_viewer(req)
+        heads = await self._config.history()
+        rows = [
+            {'revision': h.revision, 'preset': h.preset, 'author': h.author, 'summary': h.summary}
+            for h in heads
+        ]
+        return _json({'history': rows}, self._config)
+
+    async def diff(self, req: web.Request) -> web.Response:
+        """GET /admin/config/diff/{before}/{after}."""
+        self._keys.check_viewer(req)
+        heads = {str(h.revision): h for h in await self._config.history()}
+        heads['0'] = ConfigHead()
+        try:
+            before = heads[req.match_info['before']]
+            after = heads[req.match_info['after']]
+        except KeyError as exc:
+            raise Refusal(Reason.BAD_REQUEST, f'no revision {exc}') from None
+        changes = await self._config.difference(before, after)
+        return _json({'changes': converter.unstructure(changes)}, self._config)
+
+    async def rollout(self, req: web.Request) -> web.Response:
+        """GET /admin/config/rollout: the revision in force at each entry."""
+        self._keys.check_viewer(req)
+        entry = self._entry
+        revisions: dict[str, int | None] = {entry.ctx.identity.entry: self._config.head.revision}
+        for member in list(entry.keeper.view.members.values()):
+            if member.entry not in revisions:
+                revisions[member.entry] = await self._revision_at(member.peer_address)
+        return _json({'entries': revisions}, self._config)
+
+    async def _revision_at(self, address: str) -> int | None:
+        req = ProbeReq(self._entry.ctx.identity.peer_address, self._config.head.revision)
+        try:
+            return (await self._entry.ctx.peers.probe(address, req)).revision
+        except (PeerError, Refusal):
+            return None
+
+    async def _change(
+        self,
+        req: web.Request,
+        sections: dict[str, bytes],
+        preset: str | None,
+        author: str,
+        summary: str,
+    ) -> web.Response:
+        base = _if_match(req)
+        try:
+            head = await self._config.change(base, sections, preset, author, summary)
+        except PeerError as exc:
+            raise Refusal(Reason.PLATFORM_DOWN, exc.detail, peer=exc.peer) from exc
+        return _json({'revision': head.revision, 'preset': head.preset}, self._config)
+
+
+def _if_match(req: web.Request) -> int | None:
+    text = req.headers.get('If-Match')
+    if text is None:
+        return None
+    if not text.strip('"').isdecimal():
+        raise Refusal(Reason.BAD_REQUEST, f'If-Match: expected a revision, got {text!r}')
+    return int(text.strip('"'))
+
+
+async def _object(req: web.Request) -> dict[str, Any]:
+    try:
+        body = orjson.loads(await req.read())
+    except orjson.JSONDecodeError as exc:
+        raise Refusal(Reason.BAD_REQUEST, f'malformed JSON: {exc}') from None
+    if not isinstance(body, dict):
+        raise Refusal(Reason.BAD_REQUEST, 'expected a JSON object')
+    return body
+
+
+def _json(value: Any, config: ConfigKeeper) -> web.Response:
+    headers = {'ETag': f'"{config.head.revision}"'}
+    return web.Response(body=orjson.dumps(value), content_type='application/json', headers=headers)
--- /dev/null
+++ b/libs/entry/toucanlead_entry/config_keeper.py
@@ -0,0 +1,298 @@
+"""Config keeper: learns revisions from the service and from peers; never goes back."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import structlog
+
+from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.errors import NotSent, OutcomeUnknown, PeerError, Ran, Reason, Refusal, Step
+from toucanlead_peer.messages import ForwardReq, Operation, ProbeReply, ProbeReq, Result
+from toucanlead_platform.kv import Put
+from toucanlead_policy.preset import Preset
+
+from .backend_watch import LeavingMarks
+from .config_records import (
+    DRAINS_SECTION,
+    HEAD_KEY,
+    ConfigBundle,
+    ConfigHead,
+    Difference,
+    TeamEntry,
+    content_digest,
+    history_key,
+    preset_section,
+    section_key,
+    section_kind,
+)
+from .context import Context
+
+log = structlog.get_logger()
+
+PROBES_PER_ROUND = 2
+CHANGE_WAIT_S = 5.0
+HEAD_LIMIT_BYTES = 900_000
+
+
+class ConfigKeeper:
+    """Holds the configuration in force at this entry."""
+
+    def __init__(
+        self,
+        ctx: Context,
+        marks: LeavingMarks,
+        addresses: Callable[[], list[str]],
+        folder: Path | None = None,
+    ) -> None:
+        """Take the peers' addresses, and the data folder if the VM has a disk."""
+        self.head = ConfigHead(preset=ctx.preset.name)
+        self.in_force_since = ctx.timers.now()
+        self.heard_at = -1e9
+        self._marks = marks
+        self._contents: dict[str, str] = {}
+        self._ctx = ctx
+        self._own = ctx.identity.peer_address
+        self._addresses = addresses
+        self._default = ctx.preset
+        self._snapshot = folder / 'config.json' if folder else None
+        self._load_snapshot()
+
+    async def poll(self) -> None:
+        """Read the head, and the sections that are new."""
+        entry = await self._ctx.store.get(HEAD_KEY)
+        self.heard_at = self._ctx.timers.now()
+        if entry is None:
+            return
+        head = from_json(entry.value, ConfigHead)
+        if head.revision > self.head.revision:
+            await self._fetch_sections(head)
+
+    async def probe_peers(self) -> None:
+        """Exchange revisions with random peers; pull what is newer."""
+        addresses = self._addresses()
+        count = min(PROBES_PER_ROUND, len(addresses))
+        for address in self._ctx.rng.sample(addresses, count):
+            req = ProbeReq(self._own, self.head.revision, leaving=self._marks.spread())
+            try:
+                reply = await self._ctx.peers.probe(address, req)
+                self._marks.hear(reply.leaving)
+                if reply.revision > self.head.revision:
+                    await self._pull(address)
+            except (PeerError, Refusal) as exc:
+                log.debug('probe_failed', peer=address, error=str(exc))
+
+    async def answer_probe(self, req: ProbeReq) -> ProbeReply:
+        """Answer a peer's probe, noting what it says is leaving."""
+        self._marks.hear(req.leaving)
+        if req.revision > self.head.revision:
+            self._ctx.tasks.spawn(self._pull_quietly(req.sender), 'config pull')
+        return ProbeReply(self._own, self.head.revision, leaving=self._marks.spread())
+
+    def bundle(self) -> ConfigBundle:
+        """Return everything, for a peer or a snapshot."""
+        return ConfigBundle(self.head, dict(self._contents))
+
+    def apply(self, bundle: ConfigBundle) -> bool:
+        """Put a revision in force; an older one is ignored."""
+        head = bundle.head
+        if head.revision <= self.head.revision:
+            return False
+        for digest in head.sections.values():
+            if content_digest(bundle.contents[digest].encode()) != digest:
+                raise Refusal(Reason.BAD_REQUEST, f'section {digest} has other content')
+        preset = self._preset_of(bundle)
+        self.head = head
+        self._contents = {d: bundle.contents[d] for d in head.sections.values()}
+        self.in_force_since = self._ctx.timers.now()
+        self._ctx.preset = preset
+        self._ctx.router.use_preset(preset)
+        self._marks.drain(set(self.drains()))
+        self._save_snapshot()
+        log.info('config_in_force', revision=head.revision, preset=head.preset)
+        return True
+
+    def presets(self) -> dict[str, Preset]:
+        """Return all presets by name."""
+        found = {self._default.name: self._default}
+        for name, digest in self.head.sections.items():
+            if name.startswith('preset/'):
+                found[name.removeprefix('preset/')] = from_json(
+                    self._contents[digest].encode(), Preset
+                )
+        return found
+
+    def team_of_digest(self, digest: str) -> str | None:
+        """Return the team whose key has this digest."""
+        for team in self.teams():
+            if digest in team.key_digests:
+                return team.name
+        return None
+
+    def teams(self) -> list[TeamEntry]:
+        """Return the teams in the configuration."""
+        return [
+            team
+            for name, digest in sorted(self.head.sections.items())
+            if name.startswith('teams/')
+            for team in from_json(self._contents[digest].encode(), list[TeamEntry])
+        ]
+
+    def drains(self) -> list[str]:
+        """Return the addresses that operators have drained."""
+        text = self.section(DRAINS_SECTION)
+        return from_json(text.encode(), list[str]) if text else []
+
+    def section(self, name: str) -> str | None:
+        """Return a section's content."""
+        digest = self.head.sections.get(name)
+        return self._contents.get(digest) if digest else None
+
+    async def change(
+        self,
+        base: int | None,
+        sections: dict[str, bytes],
+        preset: str | None,
+        author: str,
+        summary: str,
+    ) -> ConfigHead:
+        """Accept a change by one compare-and-swap of the head.
+
+        The base is the revision that the operator saw; a loser is refused
+        with the difference between that and the present one.
+        """
+        entry = await self._ctx.store.get(HEAD_KEY)
+        present = (
+            from_json(entry.value, ConfigHead) if entry else ConfigHead(preset=self._default.name)
+        )
+        if base is not None and base != present.revision:
+            raise await self._lost_race(base, present)
+        digests = {name: content_digest(content) for name, content in sections.items()}
+        head = ConfigHead(
+            revision=present.revision + 1,
+            nonce=self._ctx.nonce(),
+            preset=preset or present.preset,
+            author=author,
+            summary=summary,
+            sections={**present.sections, **digests},
+        )
+        self._check(head, sections)
+        extra = [Put(section_key(digests[n]), content) for n, content in sections.items()]
+        extra.append(Put(history_key(head.revision), to_json(head)))
+        await self._swap(head, entry.mod_rev if entry else 0, extra, present)
+        await self._fetch_sections(head)
+        return head
+
+    async def history(self) -> list[ConfigHead]:
+        """Return all revisions, oldest first."""
+        entries = await self._ctx.store.scan('config/history/')
+        return [from_json(entry.value, ConfigHead) for entry in entries]
+
+    async def difference(self, before: ConfigHead, after: ConfigHead) -> list[Difference]:
+        """Return what differs between two revisions."""
+        found = []
+        if before.preset != after.preset:
+            found.append(Difference('preset in force', before.preset, after.preset))
+        for name in sorted({*before.sections, *after.sections}):
+            old, new = before.sections.get(name), after.sections.get(name)
+            if old != new:
+                found.append(Difference(name, await self._text(old), await self._text(new)))
+        return found
+
+    async def _swap(
+        self, head: ConfigHead, mod_rev: int, extra: list[Put], present: ConfigHead
+    ) -> None:
+        value = to_json(head)
+        if len(value) > HEAD_LIMIT_BYTES:
+            raise Refusal(Reason.TOO_LARGE, f'the head would have {len(value)} bytes')
+        deadline = self._ctx.timers.now() + CHANGE_WAIT_S
+        try:
+            won = await self._ctx.writer.write(
+                Put(HEAD_KEY, value), mod_rev, deadline=deadline, extra=extra
+            )
+        except OutcomeUnknown as exc:
+            raise _platform_down(exc, Ran.UNKNOWN) from exc
+        except NotSent as exc:
+            raise _platform_down(exc, Ran.NOT_RUN) from exc
+        if not won:
+            entry = await self._ctx.store.get(HEAD_KEY)
+            raise await self._lost_race(present.revision, from_json(entry.value, ConfigHead))
+
+    def _check(self, head: ConfigHead, sections: dict[str, bytes]) -> None:
+        """Refuse a change that could not be put in force."""
+        for name, content in sections.items():
+            try:
+                from_json(content, section_kind(name))
+            except ValueError as exc:
+                raise Refusal(Reason.BAD_REQUEST, f'{name}: {exc}') from None
+        known = preset_section(head.preset) in head.sections
+        if not known and head.preset != self._default.name:
+            raise Refusal(Reason.BAD_REQUEST, f'no preset named {head.preset!r}')
+
+    async def _lost_race(self, base: int, present: ConfigHead) -> Refusal:
+        entry = await self._ctx.store.get(history_key(base))
+        before = from_json(entry.value, ConfigHead) if entry else ConfigHead()
+        changes = await self.difference(before, present)
+        text = to_json(changes).decode()
+        return Refusal(
+            Reason.CONFLICT,
+            f'revision {present.revision} is in force, not {base}; since then: {text}',
+            step=Step.ACCEPT,
+        )
+
+    async def _fetch_sections(self, head: ConfigHead) -> None:
+        contents = {}
+        for digest in head.sections.values():
+            contents[digest] = await self._text(digest)
+        self.apply(ConfigBundle(head, contents))
+
+    async def _text(self, digest: str | None) -> str | None:
+        if digest is None:
+            return None
+        if digest in self._contents:
+            return self._contents[digest]
+        entry = await self._ctx.store.get(section_key(digest))
+        return entry.value.decode() if entry else None
+
+    async def _pull_quietly(self, address: str) -> None:
+        try:
+            await self._pull(address)
+        except (PeerError, Refusal) as exc:
+            log.debug('pull_failed', peer=address, error=str(exc))
+
+    async def _pull(self, address: str) -> None:
+        async for frame in self._ctx.peers.forward(address, ForwardReq(Operation.CONFIG, '', '')):
+            if isinstance(frame, Result):
+                self.apply(from_json(frame.body, ConfigBundle))
+
+    def _preset_of(self, bundle: ConfigBundle) -> Preset:
+        digest = bundle.head.sections.get(preset_section(bundle.head.preset))
+        if digest is None:
+            return self._default
+        return from_json(bundle.contents[digest].encode(), Preset)
+
+    def _load_snapshot(self) -> None:
+        if self._snapshot is None or not self._snapshot.exists():
+            return
+        try:
+            self.apply(from_json(self._snapshot.read_bytes(), ConfigBundle))
+        except (ValueError, KeyError, Refusal) as exc:
+            log.warning('snapshot_ignored', file=str(self._snapshot), error=str(exc))
+
+    def _save_snapshot(self) -> None:
+        if self._snapshot is None:
+            return
+        self._snapshot.parent.mkdir(parents=True, exist_ok=True)
+        part = self._snapshot.with_suffix('.part')
+        part.write_bytes(to_json(self.bundle()))
+        part.replace(self._snapshot)
+
+
+def _platform_down(exc: PeerError, ran: Ran) -> Refusal:
+    return Refusal(
+        Reason.PLATFORM_DOWN,
+        exc.detail,
+        ran=ran,
+        step=Step.ACCEPT,
+        peer=exc.peer,
+        retry_after_ms=1000,
+    )
--- a/libs/entry/toucanlead_entry/context.py
+++ b/libs/entry/toucanlead_entry/context.py
@@ -91,6 +91,7 @@
     ended_retention_s: float = 300.0
     probe_s: float = 1.0
     vm_list_s: float = 1.0
+    config_poll_s: float = 1.5
 
 
 class TaskSet:
--- a/libs/entry/toucanlead_entry/daemon.py
+++ b/libs/entry/toucanlead_entry/daemon.py
@@ -4,6 +4,7 @@
 import random
 import socket
 from collections.abc import Callable
+from pathlib import Path
 
 import aiohttp
 import structlog
@@ -21,6 +22,7 @@
 
 from .admin_api import AdminApi
 from .auth import KeyRing
+from .config_api import ConfigApi
 from .context import Backends, Context, Identity, Pacing, ToolSpec
 from .entry import Entry
 from .http_api import CallerApi, caller_app
@@ -58,17 +60,19 @@
         self._session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         peer_socket = socket.create_server((section.host, section.peer_port))
         peer_port = peer_socket.getsockname()[1]
+        folder = Path(section.data_folder) if section.data_folder else None
         vm_list = self.settings.platform.vm_list
         vms = HttpVmList(self._session, vm_list) if vm_list else None
-        self.entry = Entry(self._context(f'{section.host}:{peer_port}'), vms)
+        self.entry = Entry(self._context(f'{section.host}:{peer_port}'), vms, folder)
         self._peer_server = peer_server(self.entry)
         await self._peer_server.start(sock=peer_socket)
-        keys = KeyRing(self.settings)
+        keys = KeyRing(self.settings, self.entry.config.team_of_digest)
         callers = caller_app(self.settings.limits)
         CallerApi(self.entry, keys).add_routes(callers)
         ChatApi(self.entry, keys).add_routes(callers)
         admin = caller_app(self.settings.limits)
         AdminApi(self.entry, keys).add_routes(admin)
+        ConfigApi(self.entry, keys).add_routes(admin)
         self.port = await self._listen(callers, section.port)
         self.admin_port = await self._listen(admin, section.admin_port)
         await self.entry.start()
--- a/libs/entry/toucanlead_entry/entry.py
+++ b/libs/entry/toucanlead_entry/entry.py
@@ -1,9 +1,11 @@
 """Entry: wires the parts of one entry together, and stops it safely."""
 
 from collections.abc import AsyncIterator
+from pathlib import Path
 
 import structlog
 
+from toucanlead_core.codec import to_json
 from toucanlead_core.errors import (
     Fenced,
     PeerError,
@@ -11,14 +13,23 @@
     Refusal,
 )
 from toucanlead_core.ids import rendezvous, slot_of_program
-from toucanlead_peer.messages import ForwardReq, Frame, ProbeReply, ProbeReq, TailPiece
+from toucanlead_peer.messages import (
+    ForwardReq,
+    Frame,
+    Operation,
+    ProbeReply,
+    ProbeReq,
+    Result,
+    TailPiece,
+)
 from toucanlead_peer.transport import PeerHandler
 from toucanlead_platform.vmlist import VmList
 from toucanlead_state.ledger import Ledger
 
-from .backend_watch import BackendWatch
+from .backend_watch import BackendWatch, LeavingMarks
 from .checkpoints import Checkpoints, delete_journal
 from .coalesce import coalesced
+from .config_keeper import ConfigKeeper
 from .context import Context
 from .doubts import DoubtPoller
 from .gateway import Gateway
@@ -35,11 +46,13 @@
 class Entry(PeerHandler):
     """One entry, apart from its listening sockets."""
 
-    def __init__(self, ctx: Context, vms: VmList | None = None) -> None:
+    def __init__(self, ctx: Context, vms: VmList | None = None, folder: Path | None = None) -> None:
         """Build the parts; `start` sets them going."""
         self.ctx = ctx
-        self.backend_watch = BackendWatch(ctx, vms) if vms is not None else None
+        self.marks = LeavingMarks(ctx)
+        self.backend_watch = BackendWatch(self.marks, vms) if vms is not None else None
         self.keeper = SlotKeeper(ctx)
+        self.config = ConfigKeeper(ctx, self.marks, self._peer_addresses, folder)
         self.local = LocalService(ctx, self.keeper)
         self.gateway = Gateway(ctx, self.keeper, self.local)
         self.releaser = Releaser(ctx, self.keeper)
@@ -60,12 +73,15 @@
         self._every(pacing.reconcile_s, self.keeper.reconcile, 'slots')
         self._every(pacing.load_poll_s, self.loads.poll, 'load')
         self._every(pacing.sweep_s, self.releaser.sweep, 'sweep')
+        self._every(pacing.config_poll_s, self.config.poll, 'config')
+        self._every(pacing.probe_s, self.config.probe_peers, 'probes')
         self._every(pacing.doubt_poll_s, self.doubts.poll, 'doubts')
         self._every(pacing.tail_sweep_s, self.tails.sweep, 'tails')
         self._every(pacing.reconcile_s * 4, self._upkeep, 'checkpoints')
         if self.backend_watch is not None:
             self._every(pacing.vm_list_s, self.backend_watch.poll, 'vm list')
         await tolerate(self.keeper.reconcile(), 'first reconcile')
+        await tolerate(self.config.poll(), 'first config')
 
     @property
     def ready(self) -> bool:
@@ -95,12 +111,15 @@
 
     async def forward(self, req: ForwardReq) -> AsyncIterator[Frame]:
         """Serve a peer's request as the owner, token frames coalesced."""
+        if req.operation is Operation.CONFIG:
+            yield Result(to_json(self.config.bundle()))
+            return
         async for frame in coalesced(self.local.forward(req)):
             yield frame
 
     async def probe(self, req: ProbeReq) -> ProbeReply:
         """Answer a probe."""
-        return ProbeReply(self.ctx.identity.entry, 0)
+        return await self.config.answer_probe(req)
 
     async def keep_tail(self, piece: TailPiece) -> None:
         """Keep a peer's tail."""
@@ -112,6 +131,11 @@
             raise Refusal(Reason.NOT_OWNER)
         await self.tails.take(self.keeper.owner, piece)
 
+    def _peer_addresses(self) -> list[str]:
+        members = self.keeper.view.members.values()
+        own = self.ctx.identity.entry
+        return sorted(m.peer_address for m in members if m.entry != own)
+
     def _every(self, period_s: float, work, name: str) -> None:
         async def tolerated() -> None:
             await tolerate(work(), name)
--- a/libs/entry/toucanlead_entry/http_api.py
+++ b/libs/entry/toucanlead_entry/http_api.py
@@ -1,6 +1,7 @@
 """Native HTTP API for callers."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import orjson
@@ -171,35 +172,28 @@
     resp = web.StreamResponse(headers={'Content-Type': 'text/event-stream'})
     resp.headers['Cache-Control'] = 'no-store'
     await resp.prepare(req)
+    keep_alive = asyncio.ensure_future(_keep_alive(resp))
     try:
         await resp.write(_event(first))
-        while True:
-            item = await _next_or_keep_alive(resp, source)
-            if item is None:
-                break
-            await resp.write(_event(item))
+        async for frame in source:
+            await resp.write(_event(frame))
     except Refusal as refusal:
         data = orjson.dumps(problem_document(refusal))
         await resp.write(b'event: refusal\ndata: ' + data + b'\n\n')
     except ConnectionResetError:
         return resp  # the caller hung up; the call goes on and can be fetched
+    finally:
+        keep_alive.cancel()
     await resp.write_eof()
     return resp
 
 
-async def _next_or_keep_alive(
-    resp: web.StreamResponse, source: AsyncIterator[Frame]
-) -> Frame | None:
-    """Wait for a frame; meanwhile comments show the caller a living connection."""
-    pending = asyncio.ensure_future(anext(source, None))
-    try:
+async def _keep_alive(resp: web.StreamResponse) -> None:
+    """Send comments, which show the caller a living connection."""
+    with contextlib.suppress(ConnectionResetError):
         while True:
-            done, _ = await asyncio.wait([pending], timeout=KEEP_ALIVE_S)
-            if done:
-                return pending.result()
+            await asyncio.sleep(KEEP_ALIVE_S)
             await resp.write(b': keep-alive\n\n')
-    finally:
-        pending.cancel()
 
 
 def _event(frame: Frame) -> bytes:
--- a/libs/entry/toucanlead_entry/journal.py
+++ b/libs/entry/toucanlead_entry/journal.py
@@ -16,6 +16,8 @@
 
 log = structlog.get_logger()
 
+CLOCK_SLACK_S = 1e-6  # a timer that ends a rounding error early must not spin
+
 
 class Journal:
     """Group commits records; `append` resolves once they are durable."""
@@ -87,8 +89,8 @@
         """Write segments until fenced."""
         while not self.fenced:
             await self._until_due()
-            segment = self._batcher.start(self._ctx.nonce())
             self.last_commit_at = self._ctx.timers.now()
+            segment = self._batcher.start(self._ctx.nonce(), self.last_commit_at)
             if await self._write(segment):
                 self._commit(segment)
             else:
@@ -108,7 +110,7 @@
         while True:
             due = self._batcher.due_at()
             now = self._ctx.timers.now()
-            if due is not None and due <= now:
+            if due is not None and due <= now + CLOCK_SLACK_S:
                 return
             self._wake.clear()
             timeout = None if due is None else due - now
--- a/libs/entry/toucanlead_entry/live.py
+++ b/libs/entry/toucanlead_entry/live.py
@@ -63,11 +63,10 @@
         """Yield chunks from an offset in tokens, then the answer, or raise the refusal."""
         position = 0
         while True:
-            while position < len(self._chunks):
-                chunk = self._chunks[position]
-                position += 1
-                if chunk.offset >= from_offset:
-                    yield chunk
+            ready = [c for c in self._chunks[position:] if c.offset >= from_offset]
+            position = len(self._chunks)
+            if ready:
+                yield joined(ready)
             if self._outcome is not None:
                 break
             await self._changed.wait()
@@ -78,3 +77,11 @@
     def _signal(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def joined(chunks: list[Chunk]) -> Chunk:
+    """Return consecutive chunks as one."""
+    if len(chunks) == 1:
+        return chunks[0]
+    text = ''.join(chunk.text for chunk in chunks)
+    return Chunk(chunks[0].offset, text, sum(chunk.tokens for chunk in chunks))
--- a/libs/entry/toucanlead_entry/model_calls.py
+++ b/libs/entry/toucanlead_entry/model_calls.py
@@ -35,6 +35,7 @@
     """What one call has cost and received so far, in tokens."""
 
     new_tokens: int
+    new_bytes: int
     attempts: int = 0
     prompted: bool = False
     avoid: set[str] = field(factory=set)
@@ -60,7 +61,7 @@
         self._admit(program)
         self.pauses.ended(program)
         new_tokens = sum(count_tokens(m.content) for m in req.messages)
-        progress = _Progress(new_tokens)
+        progress = _Progress(new_tokens, sum(len(m.content) for m in req.messages))
         await self._spending.reserve(program, live, new_tokens + req.max_tokens)
         await self._ctx.reached(Step.RESERVE, program.program_id, req.seq)
         try:
@@ -106,8 +107,8 @@
             program_id=program.program_id,
             model=program.opened.model,
             region=ctx.identity.region,
-            prompt_tokens=sum(count_tokens(m.content) for m in messages),
-            prompt_bytes=sum(len(m.content) for m in messages),
+            prompt_tokens=program.tokens + progress.new_tokens,
+            prompt_bytes=program.text_bytes + progress.new_bytes,
             max_tokens=live.req.max_tokens,
             exported_tokens=self.pauses.exported_tokens(program.program_id),
             group=_group_of(messages),
@@ -133,7 +134,7 @@
         ctx = self._ctx
         replica = ctx.fleet.replicas[choice.replica]
         engine = ctx.backends.engines[choice.replica]
-        prefill = sum(count_tokens(m.content) for m in messages) - choice.cached_tokens
+        prefill = program.tokens + progress.new_tokens - choice.cached_tokens
         req = self._generate_req(program, live, messages, opened_at)
         self.touched.setdefault(program.program_id, set()).add(choice.replica)
         started_at = ctx.timers.now()
@@ -210,7 +211,7 @@
             program.program_id, choice.replica, choice.cached_tokens, end.cached_tokens
         )
         beliefs.answered(program.program_id, choice.replica, end.prompt_tokens, end.output_tokens)
-        group = _group_of([*program.history(), *live.req.messages][:1])
+        group = _group_of([*program.messages[:1], *live.req.messages][:1])
         if group:
             beliefs.group_seen(group, choice.replica)
         charged = 0 if progress.prompted else progress.new_tokens
--- a/libs/entry/toucanlead_entry/settings.py
+++ b/libs/entry/toucanlead_entry/settings.py
@@ -111,6 +111,7 @@
     limits: LimitsSection = field(factory=LimitsSection)
     preset: Preset = field(factory=Preset)
     admin_key_digests: list[str] = field(factory=list)
+    viewer_key_digests: list[str] = field(factory=list)
 
 
 def load_settings(path: Path) -> Settings:
--- a/libs/entry/toucanlead_entry/waiting.py
+++ b/libs/entry/toucanlead_entry/waiting.py
@@ -23,19 +23,17 @@
     source: AsyncIterator[T], first_s: float, next_s: float, peer: str
 ) -> AsyncIterator[T]:
     """Yield from a stream; OutcomeUnknown when it is silent for too long."""
-    limit_s = first_s
+    loop = asyncio.get_running_loop()
     iterator = source.__aiter__()
+    timeout = asyncio.timeout(first_s)
     try:
-        while True:
-            try:
-                item = await asyncio.wait_for(iterator.__anext__(), limit_s)
-            except StopAsyncIteration:
-                return
-            except TimeoutError:
-                raise OutcomeUnknown(
-                    f'silent for {limit_s:g} s', step=Step.STREAM, peer=peer
-                ) from None
-            yield item
-            limit_s = next_s
+        async with timeout:
+            async for item in iterator:
+                # The consumer's own time does not count as silence.
+                timeout.reschedule(None)
+                yield item
+                timeout.reschedule(loop.time() + next_s)
+    except TimeoutError:
+        raise OutcomeUnknown('silent for too long', step=Step.STREAM, peer=peer) from None
     finally:
         await iterator.aclose()
--- a/libs/peer/toucanlead_peer/messages.py
+++ b/libs/peer/toucanlead_peer/messages.py
@@ -19,6 +19,8 @@
     ALIVE = 'alive'
     RESOLVE = 'resolve'
     DOUBTS = 'doubts'
+    CONFIG = 'config'
+    DRAIN = 'drain'
 
 
 @frozen
--- a/libs/policy/toucanlead_policy/routing.py
+++ b/libs/policy/toucanlead_policy/routing.py
@@ -46,6 +46,10 @@
 class Router(abc.ABC):
     """Chooses a replica for a turn."""
 
+    def use_preset(self, preset: Preset) -> None:
+        """Take the weights of the preset in force; baselines have none."""
+        return
+
     @abc.abstractmethod
     def choose(
         self, turn: Turn, fleet: Fleet, now: float, avoid: frozenset[str] = frozenset()
@@ -62,6 +66,10 @@
     rng: random.Random
     link_bytes_per_s: float = 15e6 / 8
 
+    def use_preset(self, preset: Preset) -> None:
+        """Take the weights of the preset in force."""
+        self.preset = preset
+
     def choose(
         self, turn: Turn, fleet: Fleet, now: float, avoid: frozenset[str] = frozenset()
     ) -> Choice | None:
--- a/libs/standins/toucanlead_standins/engine_model.py
+++ b/libs/standins/toucanlead_standins/engine_model.py
@@ -67,7 +67,7 @@
         self.faults = EngineFaults()
         self.obeys_fence = True
         self._recorder = recorder
-        self._rates = rates or EngineRates()
+        self.rates = rates or EngineRates()
         self._running = 0
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count(1)
@@ -94,20 +94,20 @@
         """Return a report as old as the lag."""
         self._reachable()
         now = self._now()
-        if now - self._report[0] >= self._rates.load_delay_s:
+        if now - self._report[0] >= self.rates.load_delay_s:
             self._report = (now, self._running, len(self._waiters))
         return LoadReport(
             running=self._report[1],
             waiting=self._report[2],
             cache_used_tokens=self._cache_used(),
-            cache_limit_tokens=self._rates.cache_limit_tokens,
+            cache_limit_tokens=self.rates.cache_limit_tokens,
             age_s=now - self._report[0],
         )
 
     async def events(self, since: int) -> list[CacheEvent]:
         """Return events that are old enough to be published."""
         self._reachable()
-        published = self._now() - self._rates.event_delay_s
+        published = self._now() - self.rates.event_delay_s
         return [e for at, e in self._events if e.number > since and at <= published]
 
     async def held(self) -> list[str]:
@@ -179,11 +179,11 @@
         if req.resume_from == 0 and marker is not None:
             self._recorder.charged(marker.program, self._delta_tokens(req))
         slow = self.faults.slowness
-        await asyncio.sleep(slow * new_tokens / self._rates.prefill_tokens_per_s)
+        await asyncio.sleep(slow * new_tokens / self.rates.prefill_tokens_per_s)
         answer = expected_answer(marker).split(' ') if marker else ['ok']
         answer = answer[: req.max_tokens]
         for number in range(req.resume_from, len(answer)):
-            await asyncio.sleep(slow * self._rates.decode_token_s)
+            await asyncio.sleep(slow * self.rates.decode_token_s)
             await self._fail_if_told(number - req.resume_from)
             if marker is not None:
                 self._recorder.charged(marker.program, 1)
@@ -215,7 +215,7 @@
             raise OutcomeUnknown('stream broken', peer=self.name)
 
     async def _take_slot(self, priority: int) -> None:
-        if self._running < self._rates.slots and not self._waiters:
+        if self._running < self.rates.slots and not self._waiters:
             self._running += 1
             return
         waiter = _Waiter(priority, next(self._numbers))
@@ -249,7 +249,7 @@
         self._cache[program_id] = messages
         self._cache.move_to_end(program_id)
         self._publish(program_id, sum(count_tokens(m.content) for m in messages))
-        while self._cache_used() > self._rates.cache_limit_tokens:
+        while self._cache_used() > self.rates.cache_limit_tokens:
             victims = [p for p in self._cache if p not in self._holds] or list(self._cache)
             self._holds.discard(victims[0])
             del self._cache[victims[0]]
--- a/libs/state/toucanlead_state/batcher.py
+++ b/libs/state/toucanlead_state/batcher.py
@@ -28,6 +28,7 @@
     _in_flight: list[_Pending] = field(factory=list)
     _segment: Segment | None = None
     _due_at: float | None = None
+    _started_at: float = -1e9
     _tickets: int = 0
 
     def add(self, records: list[Record], now: float, *, urgent: bool) -> int:
@@ -37,7 +38,8 @@
             raise ValueError(f'records of {size} bytes do not fit a segment')
         self._tickets += 1
         self._pending.append(_Pending(self._tickets, records, size))
-        due = now if urgent else now + self.delay_s
+        # The first record after a lull goes at once; a busy journal groups them.
+        due = now if urgent else max(now, self._started_at + self.delay_s)
         self._due_at = due if self._due_at is None else min(self._due_at, due)
         return self._tickets
 
@@ -57,8 +59,9 @@
         """Return how many batches wait behind the segment in flight."""
         return len(self._pending)
 
-    def start(self, nonce: str) -> Segment:
+    def start(self, nonce: str, now: float) -> Segment:
         """Form the next segment from what waits, up to the size limit."""
+        self._started_at = now
         size = SEGMENT_FRAME_BYTES
         while self._pending:
             size += self._pending[0].size_bytes
--- a/libs/state/toucanlead_state/checkpoint.py
+++ b/libs/state/toucanlead_state/checkpoint.py
@@ -80,7 +80,8 @@
     program = Program(opened=head.opened)
     if head.opened.parent is None:
         program.escrow = Escrow(total=head.opened.budget, grants=dict(head.grants))
-    program.turns = [turn for part in parts for turn in part.turns][: head.turns]
+    for turn in [turn for part in parts for turn in part.turns][: head.turns]:
+        program.append(turn)
     program.claims = {s.claim.seq: HeldClaim(s.claim, s.holder) for s in head.claims}
     program.replicas = set(head.replicas)
     program.branches = list(head.branches)
--- a/libs/state/toucanlead_state/ledger.py
+++ b/libs/state/toucanlead_state/ledger.py
@@ -2,7 +2,7 @@
 
 from attrs import define, field
 
-from toucanlead_core.messages import Message, ProgramView
+from toucanlead_core.messages import Message, ProgramView, count_tokens
 
 from .budget import Escrow
 from .records import (
@@ -41,6 +41,9 @@
     opened: Opened
     escrow: Escrow | None = None
     turns: list[Finished] = field(factory=list)
+    messages: list[Message] = field(factory=list)
+    tokens: int = 0
+    text_bytes: int = 0
     claims: dict[int, HeldClaim] = field(factory=dict)
     replicas: set[str] = field(factory=set)
     branches: list[Finished] = field(factory=list)
@@ -65,13 +68,18 @@
         """Return the service this program has received, in tokens."""
         return sum(turn.answer.cost for turn in self.turns)
 
+    def append(self, turn: Finished) -> None:
+        """Add a turn to the history."""
+        self.turns.append(turn)
+        answer = Message(answer_role(turn), turn.answer.content)
+        for message in (*turn.req.messages, answer):
+            self.messages.append(message)
+            self.tokens += count_tokens(message.content)
+            self.text_bytes += len(message.content)
+
     def history(self) -> list[Message]:
         """Return the whole history as messages, in order."""
-        messages: list[Message] = []
-        for turn in self.turns:
-            messages.extend(turn.req.messages)
-            messages.append(Message(answer_role(turn), turn.answer.content))
-        return messages
+        return list(self.messages)
 
 
 def answer_role(turn: Finished) -> str:
@@ -157,7 +165,7 @@
     def _append(self, program: Program, finished: Finished, holder: str) -> bool:
         if finished.seq != program.next_seq:
             return False
-        program.turns.append(finished)
+        program.append(finished)
         program.claims.pop(finished.seq, None)
         if finished.answer.replica and finished.req.kind == 'model':
             program.replicas.add(finished.answer.replica)
--- a/libs/trials/toucanlead_trials/fault_kinds.py
+++ b/libs/trials/toucanlead_trials/fault_kinds.py
@@ -1,6 +1,14 @@
 """Faults of the brief, each brought about at one moment and mended after a while."""
 
 import abc
+import contextlib
+from collections.abc import Coroutine
+from typing import Any
+
+from attrs import evolve
+
+from toucanlead_core.codec import to_json
+from toucanlead_core.errors import PeerError, Refusal
 
 from .virtual_site import ZONES, VirtualPort, VirtualSite
 
@@ -130,6 +138,22 @@
         return False
 
 
+class OperatorsRacing(Fault):
+    """Two operators change the configuration at once, on the same revision."""
+
+    name = 'operators_racing'
+
+    def begin(self, site: VirtualSite, entry: str) -> bool:
+        """Let every entry accept a change of its own."""
+        for name, running in site.entries.items():
+            config = running.entry.config
+            content = to_json(evolve(site.preset, name=name))
+            sections = {f'preset/{name}': content}
+            base = config.head.revision
+            site.spawn(_attempt(config.change(base, sections, name, name, 'race')))
+        return False
+
+
 class ConnectionSilent(Fault):
     """Every open connection goes silent for good; new ones work."""
 
@@ -231,6 +255,7 @@
         StoreSlow,
         StoreAnswerLost,
         LeaseLapsed,
+        OperatorsRacing,
         ConnectionSilent,
         ZoneCut,
         ZoneCutWithCallers,
@@ -240,3 +265,9 @@
         EventsLost,
     )
 }
+
+
+async def _attempt(work: Coroutine[Any, Any, Any]) -> None:
+    """Let a change win or lose; who lost is told so, which is all we want."""
+    with contextlib.suppress(Refusal, PeerError):
+        await work
--- /dev/null
+++ b/libs/trials/toucanlead_trials/payload.py
@@ -0,0 +1,153 @@
+"""Payload path: an entry against a bare pass-through, in one process on loopback."""
+
+import asyncio
+import socket
+import time
+from contextlib import AsyncExitStack
+
+import aiohttp
+import orjson
+from aiohttp import web
+from attrs import frozen
+
+from toucanlead_entry.context import Pacing
+from toucanlead_policy.preset import Preset
+
+from .site import EntryPlace, Site, SitePlan, team_key
+from .statistics import percentile
+
+CALLS = 150
+WORKERS = 8
+TOKENS = 8
+
+
+@frozen
+class PayloadResult:
+    """Latencies in milliseconds and processor time per request."""
+
+    direct_p50_ms: float
+    bare_p50_ms: float
+    entry_p50_ms: float
+    entry_p99_ms: float
+    added_p50_ms: float
+    bare_cpu_ms: float
+    entry_cpu_ms: float
+    rate_of_bare: float
+    stream_tokens_per_s: float
+    stream_core_share: float
+
+
+async def measure_payload() -> PayloadResult:
+    """Call an engine directly, through a bare pass-through and through an entry."""
+    place = EntryPlace('solo', 'centro-a', 'centro')
+    plan = SitePlan('flamaviva', (place,), 'centro', ('centro-a',), 2, 0.0)
+    site = Site(plan)
+    await site.start(Preset(team_concurrency=10_000, team_tokens_per_s=1e9), Pacing())
+    for engine in site.engines:
+        engine.rates.decode_token_s = 0.0
+        engine.rates.slots = 64
+    async with AsyncExitStack() as stack:
+        target = site.settings_for(place, Preset()).replicas[0].address
+        bare = await _bare_proxy(stack, target)
+        direct = await _series(site, lambda n: _engine_call(site, target, n))
+        through = await _series(site, lambda n: _engine_call(site, bare, n))
+        entry = await _series(site, lambda n: _entry_call(site, n, TOKENS))
+        stream_started = (time.process_time(), time.monotonic())
+        await asyncio.gather(*(_entry_call(site, 10_000 + n, 400) for n in range(40)))
+        cpu_s = time.process_time() - stream_started[0]
+        wall_s = time.monotonic() - stream_started[1]
+    await site.stop()
+    tokens_per_s = 40 * 400 / wall_s
+    return PayloadResult(
+        direct_p50_ms=percentile(direct.latencies_ms, 50),
+        bare_p50_ms=percentile(through.latencies_ms, 50),
+        entry_p50_ms=percentile(entry.latencies_ms, 50),
+        entry_p99_ms=percentile(entry.latencies_ms, 99),
+        added_p50_ms=percentile(entry.latencies_ms, 50) - percentile(direct.latencies_ms, 50),
+        bare_cpu_ms=through.cpu_ms - direct.cpu_ms,
+        entry_cpu_ms=entry.cpu_ms - direct.cpu_ms,
+        rate_of_bare=(through.cpu_ms - direct.cpu_ms) / (entry.cpu_ms - direct.cpu_ms),
+        stream_tokens_per_s=tokens_per_s,
+        stream_core_share=7400 / tokens_per_s * (cpu_s / wall_s),
+    )
+
+
+@frozen
+class _Series:
+    latencies_ms: list[float]
+    cpu_ms: float
+
+
+async def _series(site: Site, call) -> _Series:
+    for number in range(10):
+        await call(number)
+    latencies: list[float] = []
+    started = time.process_time()
+    for number in range(100, 100 + CALLS):
+        began = time.perf_counter()
+        await call(number)
+        latencies.append(round(1000 * (time.perf_counter() - began), 3))
+    return _Series(latencies, 1000 * (time.process_time() - started) / CALLS)
+
+
+async def _engine_call(site: Site, address: str, number: int) -> None:
+    message = {'role': 'user', 'content': f'#d{number}/1~{TOKENS} hello'}
+    body = {'model': 'm', 'messages': [message], 'user': f'd{number}', 'stream': True}
+    url = f'http://{address}/v1/chat/completions'
+    async with site.session.post(url, json=body) as resp:
+        await resp.read()
+
+
+async def _entry_call(site: Site, number: int, tokens: int) -> None:
+    """Make the first call of a program; opening it is not counted elsewhere."""
+    address = site.caller_addresses[0]
+    team = f'flamaviva-{number % 6}'
+    program = _PROGRAMS.get((id(site), number // 100))
+    headers = {'Authorization': f'Bearer {team_key("flamaviva-0")}', 'Accept': 'text/event-stream'}
+    if program is None:
+        program = await _open(site, address, f'payload-{number}')
+        if tokens == TOKENS:
+            _PROGRAMS[id(site), number // 100] = program
+            _SEQS[program] = 0
+    seq = _SEQS.get(program, 0) + 1
+    _SEQS[program] = seq
+    message = {'role': 'user', 'content': f'#{team}/{seq}~{tokens} hello {number}'}
+    body = {'seq': seq, 'kind': 'model', 'messages': [message], 'max_tokens': tokens}
+    url = f'http://{address}/v1/programs/{program}/calls'
+    async with site.session.post(url, data=orjson.dumps(body), headers=headers) as resp:
+        await resp.read()
+
+
+_PROGRAMS: dict[tuple[int, int], str] = {}
+_SEQS: dict[str, int] = {}
+
+
+async def _open(site: Site, address: str, key: str) -> str:
+    headers = {'Authorization': f'Bearer {team_key("flamaviva-0")}', 'Idempotency-Key': key}
+    body = {'model': site.shape.model, 'budget': 1_000_000}
+    async with site.session.post(
+        f'http://{address}/v1/programs', json=body, headers=headers
+    ) as resp:
+        return orjson.loads(await resp.read())['program_id']
+
+
+async def _bare_proxy(stack: AsyncExitStack, target: str) -> str:
+    session = await stack.enter_async_context(aiohttp.ClientSession())
+
+    async def relay(req: web.Request) -> web.StreamResponse:
+        async with session.post(f'http://{target}{req.path}', data=await req.read()) as far:
+            resp = web.StreamResponse(headers={'Content-Type': far.content_type})
+            await resp.prepare(req)
+            async for data in far.content.iter_any():
+                await resp.write(data)
+            await resp.write_eof()
+            return resp
+
+    app = web.Application()
+    app.router.add_post('/{path:.*}', relay)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    sock = socket.create_server(('127.0.0.1', 0))
+    await web.SockSite(runner, sock).start()
+    return f'127.0.0.1:{sock.getsockname()[1]}'
--- /dev/null
+++ b/libs/trials/toucanlead_trials/rollout.py
@@ -0,0 +1,176 @@
+"""Roll-out of a configuration change over many entries, in virtual time."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from enum import Enum
+
+from attrs import evolve, frozen
+
+from toucanlead_core.codec import to_json
+from toucanlead_core.timers import LoopTimers
+from toucanlead_entry.backend_watch import LeavingMarks
+from toucanlead_entry.config_keeper import ConfigKeeper
+from toucanlead_entry.context import Backends, Context, Identity, Pacing
+from toucanlead_peer.messages import ForwardReq, Frame, ProbeReply, ProbeReq, Result, TailPiece
+from toucanlead_peer.transport import PeerHandler
+from toucanlead_policy.beliefs import CacheBeliefs
+from toucanlead_policy.fleet import Fleet
+from toucanlead_policy.preset import ORDINARY, PEAK
+from toucanlead_policy.routing import RoundRobinRouter
+from toucanlead_standins.kv_model import KvModel
+from toucanlead_standins.links import LinkedPeers, LinkedStore
+from toucanlead_standins.network import Gate, Network, Place
+from toucanlead_standins.virtual_loop import run_virtual
+
+from .statistics import percentile
+
+ZONES_PER_REGION = 3
+LIMIT_S = 60.0
+STEP_S = 0.05
+
+
+class Trouble(str, Enum):
+    """What goes wrong right after the change is accepted."""
+
+    NONE = 'none'
+    STORE_DOWN = 'kv_down_after_acceptance'
+    STORE_DOWN_AND_LOSSES = 'kv_down_and_a_tenth_paused_8s'
+    ZONE_APART = 'a_zone_reaches_peers_but_not_kv'
+
+
+@frozen
+class RolloutResult:
+    """Seconds until the change was in force, over the entries; None for never."""
+
+    members: int
+    trouble: str
+    p50_s: float
+    p99_s: float
+    max_s: float
+    kv_reads_per_s: float
+    probes_per_entry_per_s: float
+    reverted: int
+
+
+def measure_rollout(members: int, trouble: Trouble, seed: int = 1) -> RolloutResult:
+    """Accept one change at one entry, and watch it come into force everywhere."""
+    return run_virtual(_Rollout(members, trouble, seed).run())
+
+
+class _Peer(PeerHandler):
+    """The part of an entry that carries configuration."""
+
+    def __init__(self, config: ConfigKeeper) -> None:
+        self.config = config
+        self.probes = 0
+
+    async def forward(self, req: ForwardReq) -> AsyncIterator[Frame]:
+        yield Result(to_json(self.config.bundle()))
+
+    async def probe(self, req: ProbeReq) -> ProbeReply:
+        self.probes += 1
+        return await self.config.answer_probe(req)
+
+    async def keep_tail(self, piece: TailPiece) -> None:
+        raise NotImplementedError
+
+    async def deliver_tail(self, piece: TailPiece) -> None:
+        raise NotImplementedError
+
+
+class _Rollout:
+    def __init__(self, members: int, trouble: Trouble, seed: int) -> None:
+        self._members = members
+        self._trouble = trouble
+        self._rng = random.Random(seed)
+        self._network = Network()
+        self._gates: list[Gate] = []
+        self._peers: list[_Peer] = []
+        self._directory: dict = {}
+        self._seen: list[int] = [0] * members
+        self._reverted = 0
+
+    async def run(self) -> RolloutResult:
+        loop = asyncio.get_running_loop()
+        kv = KvModel(loop.time)
+        kv_gate = Gate('kv', Place('region-0', 'platform'))
+        addresses = [f'e{n}' for n in range(self._members)]
+        for number, address in enumerate(addresses):
+            self._start(number, address, addresses, kv, kv_gate)
+        await asyncio.sleep(5.0)
+        config = self._peers[0].config
+        sections = {'preset/peak': to_json(PEAK)}
+        await config.change(0, sections, 'peak', 'operator', 'peak')
+        accepted_at = loop.time()
+        reads_before = kv.counters.reads
+        probes_before = sum(peer.probes for peer in self._peers)
+        self._begin_trouble(kv, kv_gate)
+        times = await self._until_in_force(accepted_at)
+        took_s = max(STEP_S, loop.time() - accepted_at)
+        probes = sum(peer.probes for peer in self._peers) - probes_before
+        return RolloutResult(
+            self._members,
+            self._trouble.value,
+            round(percentile(times, 50), 2),
+            round(percentile(times, 99), 2),
+            round(max(times), 2) if len(times) == self._members else float('inf'),
+            round((kv.counters.reads - reads_before) / took_s, 1),
+            round(probes / took_s / self._members, 2),
+            self._reverted,
+        )
+
+    def _start(
+        self, number: int, address: str, addresses: list[str], kv: KvModel, kv_gate: Gate
+    ) -> None:
+        region = number % 3
+        zone = (number // 3) % ZONES_PER_REGION
+        gate = Gate(address, Place(f'region-{region}', f'zone-{region}-{zone}'))
+        rng = random.Random(f'{address}/{self._rng.random()}')
+        timers = LoopTimers(rng)
+        ctx = Context(
+            identity=Identity(address, address, gate.place.zone, gate.place.region),
+            store=LinkedStore(self._network, gate, kv_gate, kv),
+            peers=LinkedPeers(self._network, gate, self._directory),
+            backends=Backends(),
+            timers=timers,
+            rng=rng,
+            router=RoundRobinRouter(),
+            beliefs=CacheBeliefs(),
+            fleet=Fleet(),
+            preset=evolve(ORDINARY),
+            pacing=Pacing(),
+        )
+        others = [a for a in addresses if a != address]
+        config = ConfigKeeper(ctx, LeavingMarks(ctx), lambda: others)
+        peer = _Peer(config)
+        self._gates.append(gate)
+        self._peers.append(peer)
+        self._directory[address] = (gate, peer)
+        timers.every(ctx.pacing.config_poll_s, config.poll, 'config')
+        timers.every(ctx.pacing.probe_s, config.probe_peers, 'probes')
+
+    def _begin_trouble(self, kv: KvModel, kv_gate: Gate) -> None:
+        if self._trouble in (Trouble.STORE_DOWN, Trouble.STORE_DOWN_AND_LOSSES):
+            kv.down = True
+        if self._trouble is Trouble.STORE_DOWN_AND_LOSSES:
+            paused = self._rng.sample(self._gates[1:], self._members // 10)
+            for gate in paused:
+                gate.pause()
+                asyncio.get_running_loop().call_later(8.0, gate.resume)
+        if self._trouble is Trouble.ZONE_APART:
+            zone = self._gates[-1].place.zone
+            self._network.cut_zone(zone, [kv_gate.place.zone])
+
+    async def _until_in_force(self, accepted_at: float) -> list[float]:
+        loop = asyncio.get_running_loop()
+        times: dict[int, float] = {}
+        while len(times) < self._members and loop.time() < accepted_at + LIMIT_S:
+            for number, peer in enumerate(self._peers):
+                revision = peer.config.head.revision
+                self._reverted += revision < self._seen[number]
+                self._seen[number] = revision
+                if revision >= 1:
+                    times.setdefault(number, loop.time() - accepted_at)
+            await asyncio.sleep(STEP_S)
+        return list(times.values())
--- /dev/null
+++ b/libs/trials/toucanlead_trials/slopes.py
@@ -0,0 +1,227 @@
+"""Slopes: what an entry costs against the size of what it serves, on this machine."""
+
+import asyncio
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+
+from attrs import frozen
+
+from toucanlead_core.codec import to_json
+from toucanlead_core.messages import Answer, CallKind, CallReq, Message
+from toucanlead_entry.context import Pacing
+from toucanlead_policy.beliefs import CacheBeliefs
+from toucanlead_policy.fleet import Fleet, ReplicaState
+from toucanlead_policy.preset import Preset
+from toucanlead_policy.routing import ExpectedCostRouter, Turn
+from toucanlead_state.ledger import Ledger
+from toucanlead_state.records import Finished, Opened
+
+from .rollout import Trouble, measure_rollout
+from .site import EntryPlace, Site, SitePlan
+
+DECISIONS = 4000
+SAMPLE_S = 4.0
+CELL_SEED = 1
+
+
+@frozen
+class Fit:
+    """A straight line through measured points, and how far they lie off it."""
+
+    base: float
+    slope: float
+    spread: float
+
+    def at(self, size: float) -> float:
+        """Return the line's value at a size."""
+        return self.base + self.slope * size
+
+
+@frozen
+class SlopeResult:
+    """One figure measured at several sizes."""
+
+    name: str
+    unit: str
+    against: str
+    sizes: list[float]
+    values: list[float]
+    fit: Fit
+
+
+def measure_all(say: Callable[[str], None]) -> list[SlopeResult]:
+    """Measure every slope."""
+    results = []
+    for measure in (
+        decision_cost,
+        belief_memory,
+        program_memory,
+        record_bytes,
+        idle_cost_by_entries,
+        kv_calls_by_entries,
+        rollout_time,
+        rollout_reads,
+    ):
+        result = measure()
+        results.append(result)
+        say(f'{result.name}: {result.values} {result.unit}')
+    return results
+
+
+def fit_line(sizes: Sequence[float], values: Sequence[float]) -> Fit:
+    """Return the least-squares line; the spread is the root mean square residual."""
+    count = len(sizes)
+    mean_x, mean_y = sum(sizes) / count, sum(values) / count
+    over = sum((x - mean_x) ** 2 for x in sizes)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in zip(sizes, values)) / over
+    base = mean_y - slope * mean_x
+    residual = sum((y - base - slope * x) ** 2 for x, y in zip(sizes, values)) / count
+    return Fit(base, slope, residual**0.5)
+
+
+def decision_cost() -> SlopeResult:
+    """Microseconds of one routing decision against replicas."""
+    sizes = [5, 50, 200, 910]
+    values = [_decision_us(int(size)) for size in sizes]
+    return _result('routing decision', 'us', 'replicas', sizes, values)
+
+
+def belief_memory() -> SlopeResult:
+    """Kilobytes of cache beliefs against programs."""
+    sizes = [1000, 2000, 4000, 8000]
+
+    def fill(count: int) -> object:
+        beliefs = CacheBeliefs()
+        for number in range(count):
+            beliefs.answered(f'p0001-{number:020x}', f'r{number % 9}', 1000, 50)
+        return beliefs
+
+    return _memory('cache beliefs', 'programs', sizes, fill)
+
+
+def program_memory() -> SlopeResult:
+    """Kilobytes of ledger against programs of ten turns with short texts."""
+    sizes = [250, 500, 1000, 2000]
+
+    def fill(count: int) -> object:
+        ledger = Ledger()
+        for number in range(count):
+            name = f'p0001-{number:020x}'
+            ledger.apply(Opened(name, 'team', 'm', 9999, name, 60.0, None, 100, 'd'), 'a.1')
+            for seq in range(1, 11):
+                ledger.apply(_finished(name, seq), 'a.1')
+        return ledger
+
+    return _memory('programs in memory', 'programs', sizes, fill)
+
+
+def record_bytes() -> SlopeResult:
+    """Bytes of an outcome's record against the tokens of its turn."""
+    sizes = [20, 100, 500, 2500]
+    values = [float(len(to_json(_finished('p0001-x', 1, int(size))))) for size in sizes]
+    return _result('journal record', 'bytes', 'tokens of a turn', sizes, values)
+
+
+def idle_cost_by_entries() -> SlopeResult:
+    """Control cost of an idle entry, in thousandths of a core, against entries."""
+    sizes = [2, 4, 8, 16]
+    values = [round(_idle(int(size)).cpu_permille, 3) for size in sizes]
+    return _result('idle control processor time', '0.1% core', 'entries', sizes, values)
+
+
+def kv_calls_by_entries() -> SlopeResult:
+    """Calls to the key-value service a second by all idle entries."""
+    sizes = [2, 4, 8, 16]
+    values = [round(_idle(int(size)).kv_calls_per_s, 2) for size in sizes]
+    return _result('key-value calls, idle', 'calls/s', 'entries', sizes, values)
+
+
+def rollout_time() -> SlopeResult:
+    """Seconds until a change is in force at the last entry, in virtual time."""
+    sizes = [6, 50, 150, 350]
+    values = [measure_rollout(int(size), Trouble.STORE_DOWN).max_s for size in sizes]
+    return _result('change in force, service down', 's', 'entries', sizes, values)
+
+
+def rollout_reads() -> SlopeResult:
+    """Reads of the service a second by configuration polls, in virtual time."""
+    sizes = [50, 100, 200, 350]
+    values = [measure_rollout(int(size), Trouble.NONE).kv_reads_per_s for size in sizes]
+    return _result('configuration reads', 'reads/s', 'entries', sizes, values)
+
+
+@frozen
+class IdleCost:
+    """What idle entries cost."""
+
+    cpu_permille: float
+    kv_calls_per_s: float
+
+
+_IDLE: dict[int, IdleCost] = {}
+
+
+def _idle(entries: int) -> IdleCost:
+    if entries not in _IDLE:
+        _IDLE[entries] = asyncio.run(_measure_idle(entries))
+    return _IDLE[entries]
+
+
+async def _measure_idle(entries: int) -> IdleCost:
+    places = tuple(EntryPlace(f'e{n}', f'centro-{"ab"[n % 2]}', 'centro') for n in range(entries))
+    plan = SitePlan('flamaviva', places, 'centro', ('centro-a', 'centro-b'), 2, 0.0)
+    site = Site(plan)
+    await site.start(Preset(), Pacing())
+    await asyncio.sleep(1.0)
+    counters = site.kv.counters
+    calls_before = counters.reads + counters.writes
+    cpu_before, wall_before = time.process_time(), time.monotonic()
+    await asyncio.sleep(SAMPLE_S)
+    cpu_s = time.process_time() - cpu_before
+    wall_s = time.monotonic() - wall_before
+    calls = counters.reads + counters.writes - calls_before
+    await site.stop()
+    # The stand-ins' share is counted too, so this is an upper bound.
+    return IdleCost(1000 * cpu_s / wall_s / entries, calls / wall_s)
+
+
+def _decision_us(replicas: int) -> float:
+    fleet = Fleet()
+    for number in range(replicas):
+        fleet.add(ReplicaState(f'r{number}', 'm', 'zone', 'region'))
+    beliefs = CacheBeliefs()
+    for number in range(DECISIONS):
+        beliefs.answered(f'p{number}', f'r{number % replicas}', 900, 50)
+    router = ExpectedCostRouter(Preset(), beliefs, random.Random(CELL_SEED))
+    turns = [Turn(f'p{n}', 'm', 'region', 1000, 5000) for n in range(DECISIONS)]
+    started = time.perf_counter()
+    for turn in turns:
+        router.choose(turn, fleet, 0.0)
+    return round(1e6 * (time.perf_counter() - started) / DECISIONS, 2)
+
+
+def _finished(name: str, seq: int, tokens: int = 40) -> Finished:
+    req = CallReq(seq, CallKind.MODEL, [Message('user', 'word ' * (tokens // 2))])
+    answer = Answer(name, seq, 'word ' * (tokens // 2), tokens, replica='r1')
+    return Finished(name, seq, req.digest(), req, answer, 0)
+
+
+def _memory(
+    name: str, against: str, sizes: list[float], fill: Callable[[int], object]
+) -> SlopeResult:
+    values = []
+    for size in sizes:
+        tracemalloc.start()
+        kept = fill(int(size))
+        values.append(round(tracemalloc.get_traced_memory()[0] / 1024, 1))
+        tracemalloc.stop()
+        del kept
+    return _result(name, 'KiB', against, sizes, values)
+
+
+def _result(
+    name: str, unit: str, against: str, sizes: Sequence[float], values: list[float]
+) -> SlopeResult:
+    return SlopeResult(name, unit, against, list(sizes), values, fit_line(sizes, values))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -30,7 +30,7 @@
         report = json.loads((tmp_path / 'build' / 'faults.json').read_text())
         assert report['failed'] == [], result.stderr
         assert result.status == ExitStatus.SUCCESS, result.stdout
-        assert report['cases'] == 356
+        assert report['cases'] == 372
         assert report['fired'] == report['cases']
 
 
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,159 @@
+"""State machines without I/O: budget escrow, ledger and batcher."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.messages import Answer, CallKind, CallReq, Message
+from toucanlead_state.batcher import SEGMENT_LIMIT_BYTES, Batcher
+from toucanlead_state.budget import Escrow, next_grant
+from toucanlead_state.checkpoint import Head, Part, head_of, new_parts, restore
+from toucanlead_state.ledger import Ledger
+from toucanlead_state.records import Adopted, Finished, Opened, Segment, Unclaimed
+
+HOLDERS = st.sampled_from(['a.1', 'b.1', 'c.1'])
+STEADY = settings(derandomize=True, max_examples=60, stateful_step_count=30, deadline=None)
+
+
+def finished(seq, cost=5, grant=0, text='answer'):
+    req = CallReq(seq, CallKind.MODEL, [Message('user', f'q{seq}')])
+    answer = Answer('p0000-x', seq, text, cost, replica='r1')
+    return Finished('p0000-x', seq, req.digest(), req, answer, grant)
+
+
+def opened(budget=1000, grant=100):
+    return Opened('p0000-x', 'team', 'm', budget, 'k', 60.0, None, grant, 'd')
+
+
+class EscrowMachine(RuleBasedStateMachine):
+    """Holders that each believe they own the program; truth is what they spent."""
+
+    def __init__(self):
+        super().__init__()
+        self.escrow = Escrow(total=500)
+        self.views = dict.fromkeys(('a.1', 'b.1', 'c.1'), 0)
+        self.truly_spent = 0
+
+    @rule(holder=HOLDERS, wanted=st.integers(1, 200), ahead=st.integers(0, 100))
+    def grant(self, holder, wanted, ahead):
+        units = next_grant(self.escrow, holder, wanted, ahead)
+        self.escrow.grant(holder, units)
+        self.views[holder] += units
+
+    @rule(holder=HOLDERS, units=st.integers(1, 120))
+    def spend_without_telling(self, holder, units):
+        """A paused or cut-off holder spends within its own grants, unrecorded."""
+        if units <= self.views[holder]:
+            self.views[holder] -= units
+            self.truly_spent += units
+
+    @rule(holder=HOLDERS, units=st.integers(1, 120))
+    def spend_recorded(self, holder, units):
+        if units <= self.views[holder]:
+            self.views[holder] -= units
+            self.truly_spent += units
+            self.escrow.spend(holder, units)
+
+    @rule(holder=HOLDERS)
+    def settle(self, holder):
+        """The holder stops and says the most that it can have spent."""
+        grant = self.escrow.grants.get(holder)
+        if grant is not None:
+            self.escrow.settle(holder, grant.granted - self.views[holder])
+            self.views[holder] = 0
+
+    @invariant()
+    def never_over_budget(self):
+        assert self.truly_spent <= self.escrow.total
+        assert self.escrow.granted <= self.escrow.total
+        assert self.truly_spent <= self.escrow.granted
+
+
+class BatcherMachine(RuleBasedStateMachine):
+    """Records come out once each, in order, in segments under the limit."""
+
+    def __init__(self):
+        super().__init__()
+        self.batcher = Batcher('a.1', 0.01)
+        self.now = 0.0
+        self.added = []
+        self.durable = []
+        self.tickets = []
+
+    @rule(size=st.sampled_from([10, 1000, 200_000, 400_000]), urgent=st.booleans())
+    def add(self, size, urgent):
+        records = [finished(len(self.added) + 1, text='x' * size)]
+        self.tickets.append(self.batcher.add(records, self.now, urgent=urgent))
+        self.added.extend(records)
+        self.now += 0.001
+
+    @precondition(lambda self: self.batcher.due_at() is not None)
+    @rule()
+    def start(self):
+        segment = self.batcher.start('n', self.now)
+        assert len(to_json(segment)) <= SEGMENT_LIMIT_BYTES
+        assert segment.records
+
+    @precondition(lambda self: self.batcher.in_flight is not None)
+    @rule()
+    def commit(self):
+        self.durable.extend(self.batcher.in_flight.records)
+        done = self.batcher.committed()
+        assert done == self.tickets[: len(done)]
+        self.tickets = self.tickets[len(done) :]
+
+    @invariant()
+    def order_is_kept_and_nothing_lost(self):
+        assert self.durable + self.batcher.undurable() == self.added
+
+
+TestEscrow = EscrowMachine.TestCase
+TestEscrow.settings = STEADY
+TestBatcher = BatcherMachine.TestCase
+TestBatcher.settings = STEADY
+
+
+class TestLedger:
+    def test_outcomes_apply_once_and_in_order(self):
+        ledger = Ledger()
+        ledger.apply(opened(), 'a.1')
+        for seq in (1, 1, 3, 2):
+            ledger.apply(finished(seq), 'a.1')
+        program = ledger.programs['p0000-x']
+        assert [t.seq for t in program.turns] == [1, 2]
+        assert ledger.escrow_of(program).spent == 10
+
+    def test_an_adopted_outcome_is_paid_from_its_holders_grant(self):
+        ledger = Ledger()
+        ledger.apply(opened(), 'a.1')
+        ledger.apply(Adopted('p0000-x', 'a.1', finished(1, cost=40)), 'b.1')
+        escrow = ledger.escrow_of(ledger.programs['p0000-x'])
+        assert escrow.grants['a.1'].spent == 40
+        assert 'b.1' not in escrow.grants
+
+    def test_records_of_unknown_programs_are_ignored(self):
+        ledger = Ledger()
+        ledger.apply(Unclaimed('p0000-y', 1), 'a.1')
+        assert ledger.programs == {}
+
+    def test_records_survive_coding(self):
+        segment = Segment('n', 'a.1', 0, [opened(), finished(1), Unclaimed('p0000-x', 2)])
+        assert from_json(to_json(segment), Segment) == segment
+
+
+class TestCheckpoint:
+    def test_the_longest_program_is_split_under_a_megabyte_and_reassembled(self):
+        ledger = Ledger()
+        ledger.apply(opened(budget=2_000_000), 'a.1')
+        program = ledger.programs['p0000-x']
+        words = 'tok ' * (760_000 // 260)
+        for seq in range(1, 261):
+            ledger.apply(finished(seq, cost=1, text=f'{seq} {words}'), 'a.1')
+        parts = new_parts(program)
+        coded = [to_json(part) for part in parts]
+        assert max(len(c) for c in coded) < 1_000_000
+        head = from_json(to_json(head_of(program, len(parts), {'a.1': 260}, 'n')), Head)
+        again = restore(head, [from_json(c, Part) for c in coded], 7)
+        assert again.turns == program.turns
+        assert again.escrow.grants == program.escrow.grants
