Views kept by watches, slots rebalanced, safe stops and rolling replacement tested

The first entry kept all slots. Change: members and slots by watches, read anew each 10 s; a holder is asked for by name before it is sealed; leases grow with the fleet; at most 4 replicas polled a round beyond 16; misplaced quiet slots are handed over, 4 a round; a handed slot is loaded as soon as the watch tells. Rolling replacement of both entries under load: 0 retries, 0 refused. An hour without the service: model calls answered with durability zone, bookings refused as not run, history whole after. Stand-in service: watch wake-ups by prefix, lapsed leases removed.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LIBS := core policy state platform backends peer entry standins trials cli
 STAMP := $(VENV)/installed
 
-.PHONY: demo test faults faults-full bench check format proto traces lock clean
+.PHONY: demo test faults faults-full bench slopes binary lock check format proto traces lock clean
 
 demo: $(STAMP)
 	$(BIN)/toucanlead demo
@@ -22,6 +22,9 @@
 bench: $(STAMP)
 	$(BIN)/toucanlead bench
 
+slopes: $(STAMP)
+	$(BIN)/toucanlead slopes
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/libs/cli/toucanlead/commands.py
+++ b/libs/cli/toucanlead/commands.py
@@ -5,6 +5,8 @@
 import signal
 from pathlib import Path
 
+from attrs import asdict
+
 from toucanlead_entry.daemon import Daemon, run_until
 from toucanlead_entry.settings import load_settings
 from toucanlead_trials.bench import (
@@ -14,6 +16,7 @@
     run_bench,
     verdicts,
 )
+from toucanlead_trials.capacity import fill_tables, slopes_document
 from toucanlead_trials.demo import demo_document, run_demo
 from toucanlead_trials.fault_kinds import FAULTS
 from toucanlead_trials.fault_matrix import (
@@ -23,7 +26,9 @@
     run_cases,
     under_served,
 )
+from toucanlead_trials.payload import measure_payload
 from toucanlead_trials.report import table, write_json
+from toucanlead_trials.slopes import measure_all
 
 from .environment import Environment
 from .logs import configure_logs
@@ -106,6 +111,25 @@
         env.say(table(['target', 'bound', 'reached', ''], cells))
         return ExitStatus.SUCCESS
 
+    def slopes(self) -> ExitStatus:
+        """Measure slopes and work out the capacity page."""
+        env = self._env
+        configure_logs(env.stderr, 'critical')
+        results = measure_all(env.warn)
+        payload = asyncio.run(measure_payload())
+        write_json(env.build / 'slopes.json', slopes_document(results, payload))
+        cells = [
+            [r.name, r.unit, r.against, r.fit.base, r.fit.slope, r.fit.spread] for r in results
+        ]
+        env.say(table(['what', 'unit', 'against', 'base', 'slope', 'spread'], cells))
+        env.say(table(['payload', 'value'], [[k, v] for k, v in asdict(payload).items()]))
+        page = env.folder / 'docs' / 'CAPACITY.md'
+        if page.exists():
+            text = fill_tables(page.read_text(encoding='utf-8'), results, payload)
+            page.write_text(text, encoding='utf-8')
+            env.say(f'{page.name}: tables written')
+        return ExitStatus.SUCCESS
+
     def entry(self, config: str, log_level: str) -> ExitStatus:
         """Run an entry."""
         settings = load_settings(Path(config))
--- a/libs/cli/toucanlead/definition.py
+++ b/libs/cli/toucanlead/definition.py
@@ -40,6 +40,13 @@
         """
         return commands.bench(programs, seeds, ablation)
 
+    def slopes() -> ExitStatus:
+        """Measure what an entry costs against the size of what it serves.
+
+        Writes build/slopes.json and the tables of docs/CAPACITY.md; about a minute.
+        """
+        return commands.slopes()
+
     def entry(*, config: str, log_level: LogLevel = 'info') -> ExitStatus:
         """Run an entry until SIGTERM, then finish everything in progress and stop.
 
@@ -139,6 +146,7 @@
         'drain': drain,
         'program': program,
         'doubt': doubt,
+        'slopes': slopes,
         'bench': bench,
         'faults': faults,
         'demo': demo,
--- a/libs/entry/toucanlead_entry/context.py
+++ b/libs/entry/toucanlead_entry/context.py
@@ -92,6 +92,7 @@
     probe_s: float = 1.0
     vm_list_s: float = 1.0
     config_poll_s: float = 1.5
+    rescan_s: float = 10.0
 
 
 class TaskSet:
--- a/libs/entry/toucanlead_entry/entry.py
+++ b/libs/entry/toucanlead_entry/entry.py
@@ -42,6 +42,8 @@
 
 log = structlog.get_logger()
 
+SLOTS_MOVED_PER_ROUND = 4
+
 
 class Entry(PeerHandler):
     """One entry, apart from its listening sockets."""
@@ -70,6 +72,8 @@
         await self.keeper.register()
         pacing = self.ctx.pacing
         self._every(pacing.lease_ttl_s / 3, self.keeper.renew, 'lease')
+        await tolerate(self.keeper.refresh(), 'first view')
+        self.ctx.tasks.spawn(self.keeper.follow(), 'view')
         self._every(pacing.reconcile_s, self.keeper.reconcile, 'slots')
         self._every(pacing.load_poll_s, self.loads.poll, 'load')
         self._every(pacing.sweep_s, self.releaser.sweep, 'sweep')
@@ -185,6 +189,7 @@
         try:
             await checkpoints.shorten()
             await self._shorten_lineages(checkpoints)
+            await self._rebalance()
             idle_before = self.ctx.timers.now() - self.ctx.pacing.idle_evict_s
             await checkpoints.evict_idle(idle_before)
         except Fenced as exc:
@@ -201,6 +206,19 @@
             await delete_journal(self.ctx, holder, keeper.owner.journal.guard)
             keeper.sealed.discard(holder)
 
+    async def _rebalance(self) -> None:
+        """Hand quiet slots to the entries that should own them, a few each round."""
+        candidates = self.keeper.candidates()
+        misplaced = [
+            (slot, rendezvous(f'slot{slot}', candidates)[0]) for slot in sorted(self.keeper.owned)
+        ]
+        own = self.ctx.identity.entry
+        moving = [(slot, entry) for slot, entry in misplaced if entry != own]
+        for slot, entry in moving[:SLOTS_MOVED_PER_ROUND]:
+            heir = self.keeper.view.members.get(entry)
+            if heir is not None and not self.stopping:
+                await self._hand_over(slot, heir)
+
     async def _hand_over_round(self) -> bool:
         """Hand over the slots that are quiet, or have waited long enough."""
         heirs = [m for m in self.keeper.view.members.values() if m.entry != self.ctx.identity.entry]
--- a/libs/entry/toucanlead_entry/loads.py
+++ b/libs/entry/toucanlead_entry/loads.py
@@ -8,7 +8,8 @@
 
 log = structlog.get_logger()
 
-POLLS_PER_ROUND = 32  # keeps an entry's cost constant in the number of replicas
+SMALL_FLEET = 16  # up to here every replica is polled each round
+POLLS_PER_ROUND = 4  # beyond, so that an entry's cost does not grow with the fleet
 
 
 class LoadPoller:
@@ -22,7 +23,7 @@
     async def poll(self) -> None:
         """Poll a random share of the replicas."""
         names = list(self._ctx.backends.engines)
-        if len(names) > POLLS_PER_ROUND:
+        if len(names) > SMALL_FLEET:
             names = self._ctx.rng.sample(names, POLLS_PER_ROUND)
         for name in names:
             try:
--- a/libs/entry/toucanlead_entry/slots.py
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -1,6 +1,8 @@
 """Slots: registering, claiming, taking over from dead entries, handing over."""
 
 import asyncio
+import math
+from collections.abc import Callable
 
 import structlog
 from attrs import define, evolve
@@ -8,7 +10,7 @@
 from toucanlead_core.codec import from_json, to_json
 from toucanlead_core.errors import NotSent, OutcomeUnknown, PeerError
 from toucanlead_core.ids import rendezvous
-from toucanlead_platform.kv import KvEntry, Put
+from toucanlead_platform.kv import KvEntry, Put, WatchEvent
 from toucanlead_state.ledger import Ledger
 from toucanlead_state.records import Segment
 
@@ -32,6 +34,7 @@
 
 TAKEOVER_SPREAD = 8  # entries among which a dead entry's slots are spread
 CLAIMS_PER_ROUND = 64
+MEMBERS_PER_LEASE_S = 40  # 350 members renew 9 s leases each 3 s: 117 writes a second
 
 
 @define
@@ -62,6 +65,10 @@
         self.leaving = False
         self.lease = 0
         self._renew_from = 0.0
+        self._renewed_at = -1e9
+        self._lease_ttl_s = 0
+        self._seen_rev = 0
+        self._taking = asyncio.Lock()
         self._unseen_since: dict[str, float] = {}
         self.sealed: set[str] = set()
         self.on_new_owner = lambda owner: None
@@ -81,7 +88,11 @@
         """Keep the lease; take a new one when it has lapsed."""
         if self.owner is None or self.leaving or self._ctx.timers.now() < self._renew_from:
             return
+        now = self._ctx.timers.now()
+        if now < self._renewed_at + self._lease_ttl_s / 3:
+            return
         if await self._ctx.store.keep_alive(self.lease):
+            self._renewed_at = now
             return
         log.warning('lease_lapsed', holder=self.owner.holder)
         await self._announce(self.owner.holder)
@@ -91,8 +102,7 @@
         self._renew_from = when
 
     async def reconcile(self) -> None:
-        """Read members and slots; claim what is free, take over from the dead."""
-        await self.refresh()
+        """Claim what is free, take over from the dead."""
         if self.owner is None or self.leaving:
             return
         self.owner.journal.members = max(1, len(self.view.members))
@@ -101,12 +111,67 @@
         await self._claim_free()
         await self._take_over_dead()
 
+    async def follow(self) -> None:
+        """Keep the view by watches, read anew now and then.
+
+        A watch whose connection has gone silent is thus replaced.
+        """
+        while True:
+            try:
+                await self.refresh()
+                await asyncio.wait_for(self._watch_all(), self._ctx.pacing.rescan_s)
+            except TimeoutError:
+                continue
+            except PeerError as exc:
+                log.info('view_retried', error=str(exc))
+                await self._ctx.timers.sleep(0.3)
+
+    async def _watch_all(self) -> None:
+        await asyncio.gather(
+            self._watch(MEMBERS, self._member_changed), self._watch(SLOTS, self._slot_changed)
+        )
+
+    async def _watch(self, prefix: str, changed: Callable[[WatchEvent], None]) -> None:
+        async for event in self._ctx.store.watch(prefix, self._seen_rev + 1):
+            changed(event)
+            self.view.read_at = self._ctx.timers.now()
+
+    def _member_changed(self, event: WatchEvent) -> None:
+        entry = event.key.removeprefix(MEMBERS)
+        if event.value is None:
+            self.view.members.pop(entry, None)
+        else:
+            self.view.members[entry] = from_json(event.value, MemberRecord)
+
+    def _slot_changed(self, event: WatchEvent) -> None:
+        if event.value is not None:
+            record = from_json(event.value, SlotRecord)
+            known = self.owner_of(record.slot)
+            if known is None or record.epoch >= known.epoch:
+                self.view.slots[record.slot] = (record, event.mod_rev)
+                self._notice_handed(record)
+
+    def _notice_handed(self, record: SlotRecord) -> None:
+        owner = self.owner
+        if owner is not None and record.holder == owner.holder and record.slot not in self.owned:
+            self._ctx.tasks.spawn(tolerate(self._take_handed(), 'handed slot'), 'handed slot')
+
+    async def _is_gone(self, holder: str) -> bool:
+        """Ask the service itself before a holder is taken for dead."""
+        entry = await self._ctx.store.get(member_key(holder.rpartition('.')[0]))
+        if entry is None:
+            return True
+        record = from_json(entry.value, MemberRecord)
+        self.view.members[record.entry] = record
+        return record.holder != holder
+
     async def refresh(self) -> None:
         """Read members and slots again."""
         # Slots first: an entry registers before it claims, so that a holder
         # read here and missing from the members read after it has ended.
         slots = await self._ctx.store.scan(SLOTS)
         members = await self._ctx.store.scan(MEMBERS)
+        self._seen_rev = max((e.mod_rev for e in [*slots, *members]), default=0)
         self.view = View(
             {m.entry: m for m in (from_json(e.value, MemberRecord) for e in members)},
             {record.slot: (record, rev) for record, rev in map(_slot_of, slots)},
@@ -158,7 +223,10 @@
     async def _announce(self, holder: str) -> None:
         ctx = self._ctx
         identity = ctx.identity
-        self.lease = await ctx.store.grant_lease(ctx.pacing.lease_ttl_s)
+        # Leases grow with the fleet, so that renewals keep within the write rate.
+        shares = math.ceil(len(self.view.members) / MEMBERS_PER_LEASE_S)
+        self._lease_ttl_s = max(ctx.pacing.lease_ttl_s, shares)
+        self.lease = await ctx.store.grant_lease(self._lease_ttl_s)
         record = MemberRecord(
             identity.entry,
             holder,
@@ -238,7 +306,7 @@
             if takers[0] != entry:
                 rank = takers.index(entry)
                 await self._ctx.timers.sleep(rank * self._ctx.pacing.seal_stagger_s)
-            if await self._seal(holder):
+            if await self._is_gone(holder) and await self._seal(holder):
                 self.sealed.add(holder)
                 await self._load_and_claim(holder, mine)
 
@@ -291,11 +359,15 @@
 
     async def _take_handed(self) -> None:
         """Load slots that a leaving entry has written over to this one."""
-        for slot, (record, _) in self.view.slots.items():
-            if record.holder == self.owner.holder and slot not in self.owned:
+        async with self._taking:
+            for slot, (record, _) in list(self.view.slots.items()):
+                owner = self.owner
+                if owner is None or record.holder != owner.holder or slot in self.owned:
+                    continue
                 staged = await load_slot(self._ctx, slot)
-                self._own(slot, record, staged)
-                self._ctx.metrics.takeovers.labels('handed').inc()
+                if self.owner is owner and self.owner_of(slot) == record:
+                    self._own(slot, record, staged)
+                    self._ctx.metrics.takeovers.labels('handed').inc()
 
     def _own(self, slot: int, record: SlotRecord, staged: Ledger) -> None:
         self.owned.add(slot)
--- a/libs/standins/toucanlead_standins/kv_model.py
+++ b/libs/standins/toucanlead_standins/kv_model.py
@@ -34,7 +34,9 @@
         self._entries: dict[str, KvEntry] = {}
         self._leases: dict[int, _Lease] = {}
         self._history: list[WatchEvent] = []
-        self._changed = asyncio.Event()
+        self._changed: dict[str, asyncio.Event] = {}
+        self._touched: set[str] = set()
+        self._granted = 0
         self.revision = 1
         self.counters = KvCounters()
         self.down = False
@@ -73,7 +75,8 @@
     def grant_lease(self, ttl_s: float) -> int:
         """Create a lease."""
         self.counters.writes += 1
-        lease = len(self._leases) + 1
+        self._granted += 1
+        lease = self._granted
         self._leases[lease] = _Lease(ttl_s, self._clock() + ttl_s)
         return lease
 
@@ -97,11 +100,14 @@
     def events_after(self, prefix: str, revision: int) -> list[WatchEvent]:
         """Return changes at or above a revision."""
         self._expire()
-        return [e for e in self._history if e.mod_rev >= revision and e.key.startswith(prefix)]
+        start = len(self._history)
+        while start and self._history[start - 1].mod_rev >= revision:
+            start -= 1
+        return [e for e in self._history[start:] if e.key.startswith(prefix)]
 
-    async def changed(self) -> None:
-        """Wait until something changes."""
-        await self._changed.wait()
+    async def changed(self, prefix: str) -> None:
+        """Wait until something under a prefix changes."""
+        await self._changed.setdefault(prefix, asyncio.Event()).wait()
 
     def _put(self, op: Put) -> None:
         if len(op.value) > MAX_VALUE_BYTES:
@@ -110,28 +116,33 @@
         old = self._entries.get(op.key)
         created = old.create_rev if old else self.revision
         self._entries[op.key] = KvEntry(op.key, op.value, created, self.revision)
-        self._history.append(WatchEvent(op.key, op.value, self.revision))
+        self._note(op.key, op.value)
         for lease in self._leases.values():
             lease.keys.discard(op.key)
-        if op.lease:
+        if op.lease in self._leases:
             self._leases[op.lease].keys.add(op.key)
 
     def _delete(self, key: str) -> None:
         if self._entries.pop(key, None) is not None:
-            self._history.append(WatchEvent(key, None, self.revision))
+            self._note(key, None)
 
     def _expire(self) -> None:
         now = self._clock()
-        lapsed = [lease for lease in self._leases.values() if lease.expires_at <= now]
-        for lease in lapsed:
-            if lease.keys:
-                self.revision += 1
-            for key in sorted(lease.keys):
+        lapsed = [number for number, held in self._leases.items() if held.expires_at <= now]
+        for number in lapsed:
+            held = self._leases.pop(number)
+            self.revision += bool(held.keys)
+            for key in sorted(held.keys):
                 self._delete(key)
-            lease.keys.clear()
         if lapsed:
             self._notify()
 
+    def _note(self, key: str, value: bytes | None) -> None:
+        self._history.append(WatchEvent(key, value, self.revision))
+        self._touched.add(key)
+
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+        for prefix in list(self._changed):
+            if any(key.startswith(prefix) for key in self._touched):
+                self._changed.pop(prefix).set()
+        self._touched.clear()
--- a/libs/standins/toucanlead_standins/kv_server.py
+++ b/libs/standins/toucanlead_standins/kv_server.py
@@ -77,9 +77,12 @@
             events = self.model.events_after(prefix, revision)
             if events:
                 revision = events[-1].mod_rev + 1
-                await resp.write(_watch_line(events))
+                try:
+                    await resp.write(_watch_line(events))
+                except ConnectionResetError:
+                    return resp  # the watcher has gone
             try:
-                await asyncio.wait_for(self.model.changed(), 1.0)
+                await asyncio.wait_for(self.model.changed(prefix), 1.0)
             except TimeoutError:
                 continue
 
--- a/libs/standins/toucanlead_standins/links.py
+++ b/libs/standins/toucanlead_standins/links.py
@@ -80,10 +80,7 @@
                 await self._network.still_open(token, self._src, self._dst)
                 revision = event.mod_rev + 1
                 yield event
-            try:
-                await asyncio.wait_for(self._model.changed(), 1.0)
-            except TimeoutError:
-                continue
+            await self._model.changed(prefix)
 
     async def _ask(self, work: Callable[[], T], *, writes: bool) -> T:
         await self._network.send(self._src, self._dst)
--- a/libs/trials/toucanlead_trials/payload.py
+++ b/libs/trials/toucanlead_trials/payload.py
@@ -17,8 +17,10 @@
 from .statistics import percentile
 
 CALLS = 150
-WORKERS = 8
 TOKENS = 8
+STREAMS = 40
+STREAM_TOKENS = 400
+TARGET_TOKENS_PER_S = 7400  # through one entry at the target
 
 
 @frozen
@@ -33,7 +35,7 @@
     bare_cpu_ms: float
     entry_cpu_ms: float
     rate_of_bare: float
-    stream_tokens_per_s: float
+    stream_us_per_token: float
     stream_core_share: float
 
 
@@ -52,12 +54,9 @@
         direct = await _series(site, lambda n: _engine_call(site, target, n))
         through = await _series(site, lambda n: _engine_call(site, bare, n))
         entry = await _series(site, lambda n: _entry_call(site, n, TOKENS))
-        stream_started = (time.process_time(), time.monotonic())
-        await asyncio.gather(*(_entry_call(site, 10_000 + n, 400) for n in range(40)))
-        cpu_s = time.process_time() - stream_started[0]
-        wall_s = time.monotonic() - stream_started[1]
+        plain = await _streams(lambda n: _engine_call(site, target, n, STREAM_TOKENS))
+        relayed = await _streams(lambda n: _entry_call(site, n, STREAM_TOKENS))
     await site.stop()
-    tokens_per_s = 40 * 400 / wall_s
     return PayloadResult(
         direct_p50_ms=percentile(direct.latencies_ms, 50),
         bare_p50_ms=percentile(through.latencies_ms, 50),
@@ -67,8 +66,8 @@
         bare_cpu_ms=through.cpu_ms - direct.cpu_ms,
         entry_cpu_ms=entry.cpu_ms - direct.cpu_ms,
         rate_of_bare=(through.cpu_ms - direct.cpu_ms) / (entry.cpu_ms - direct.cpu_ms),
-        stream_tokens_per_s=tokens_per_s,
-        stream_core_share=7400 / tokens_per_s * (cpu_s / wall_s),
+        stream_us_per_token=relayed - plain,
+        stream_core_share=TARGET_TOKENS_PER_S * (relayed - plain) / 1e6,
     )
 
 
@@ -90,9 +89,17 @@
     return _Series(latencies, 1000 * (time.process_time() - started) / CALLS)
 
 
-async def _engine_call(site: Site, address: str, number: int) -> None:
-    message = {'role': 'user', 'content': f'#d{number}/1~{TOKENS} hello'}
+async def _streams(call) -> float:
+    """Return microseconds of processor time per token of parallel streams."""
+    started = time.process_time()
+    await asyncio.gather(*(call(10_000 + 100 * n) for n in range(STREAMS)))
+    return 1e6 * (time.process_time() - started) / (STREAMS * STREAM_TOKENS)
+
+
+async def _engine_call(site: Site, address: str, number: int, tokens: int = TOKENS) -> None:
+    message = {'role': 'user', 'content': f'#d{number}/1~{tokens} hello'}
     body = {'model': 'm', 'messages': [message], 'user': f'd{number}', 'stream': True}
+    body['max_tokens'] = tokens
     url = f'http://{address}/v1/chat/completions'
     async with site.session.post(url, json=body) as resp:
         await resp.read()
--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,194 @@
+"""Planned stops and replacements under load: nothing is cut off, nothing is lost."""
+
+import asyncio
+import json
+import signal
+import sys
+
+import aiohttp
+from attrs import evolve
+
+from toucanlead_entry.context import Pacing
+from toucanlead_policy.preset import Preset
+from toucanlead_standins.virtual_loop import run_virtual
+from toucanlead_trials.caller import HttpPort, Replayer
+from toucanlead_trials.fault_matrix import bystanders, victim_program
+from toucanlead_trials.site import Site, team_key
+from toucanlead_trials.virtual_site import VirtualPort, VirtualSite
+from toucanlead_trials.workload import FLAMAVIVA, make_programs
+
+from .utils.site import SMALL, EntryPlace, on_site
+
+# Slow upkeep, so that an hour of it is soon played.
+CALM = Pacing(
+    lease_ttl_s=60,
+    reconcile_s=5.0,
+    forward_wait_s=12.0,
+    load_poll_s=30.0,
+    sweep_s=30.0,
+    doubt_poll_s=30.0,
+    tail_sweep_s=30.0,
+    probe_s=30.0,
+    vm_list_s=30.0,
+    config_poll_s=30.0,
+    rescan_s=30.0,
+)
+
+
+class TestSafeStop:
+    @on_site()
+    async def test_a_stop_lets_a_running_call_finish_and_hands_programs_over(self, caller):
+        program = await caller.open(budget=100_000)
+        first, second = caller.site.daemons
+        running = asyncio.create_task(caller.say(program, 1, tokens=400, max_tokens=400))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.create_task(first.entry.stop())
+        answer = await running
+        assert answer['output_tokens'] == 400
+        await stopping
+        caller.entry = 1
+        async with asyncio.timeout(2.0):
+            while second.entry.keeper.owned != set(range(16)):
+                await asyncio.sleep(0.02)
+        assert (await caller.say(program, 2)).status == 200
+        view = await caller.request('GET', f'/v1/programs/{program}')
+        assert view['turns'] == 2
+
+    @on_site()
+    async def test_slots_spread_to_an_entry_that_joins(self, caller):
+        async with asyncio.timeout(20):
+            while not all(3 <= len(d.entry.keeper.owned) <= 13 for d in caller.site.daemons):
+                await asyncio.sleep(0.1)
+
+    def test_rolling_replacement_of_every_entry_under_load_fails_no_request(self):
+        async def scenario():
+            site = Site(SMALL)
+            await site.start(Preset(), Pacing())
+            port = _FollowingPort(site)
+            programs = make_programs(FLAMAVIVA, 25, 7, rate_per_s=0.2)
+            replayer = Replayer(port, site.recorder, 0.02)
+            playing = asyncio.create_task(replayer.play(programs))
+            for number in range(2):
+                await asyncio.sleep(0.5)
+                old = site.daemons[0]
+                place = EntryPlace(f'new-{number}', 'centro-a', 'centro')
+                await site.start_entry(place, Preset(), Pacing())
+                site.daemons.remove(old)
+                await old.stop()
+            await playing
+            await site.stop()
+            return replayer.report, site.recorder.violations()
+
+        report, violations = asyncio.run(scenario())
+        assert violations == []
+        assert report.unexpected == []
+        assert report.completed == report.programs
+        assert report.retries == 0
+
+
+class _FollowingPort(HttpPort):
+    """A balancer that follows the entries as they come and go."""
+
+    def __init__(self, site):
+        super().__init__(site.session, [], team_key)
+        self._site = site
+
+    async def _request(self, *args, **kwargs):
+        ready = [d for d in self._site.daemons if d.entry is not None and d.entry.ready]
+        self._addresses = [f'127.0.0.1:{daemon.port}' for daemon in ready]
+        return await super()._request(*args, **kwargs)
+
+
+class TestProcess:
+    """The program as an operator runs it."""
+
+    def test_sigterm_stops_an_entry_safely_with_status_0(self, tmp_path):
+        async def scenario():
+            site = Site(SMALL)
+            await site.start(Preset(), Pacing())
+            text = _settings_text(site)
+            config = tmp_path / 'entry.toml'
+            config.write_text(text)
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'toucanlead',
+                'entry',
+                '--config',
+                str(config),
+                stderr=asyncio.subprocess.PIPE,
+            )
+            try:
+                port = await asyncio.wait_for(_port_of(process), 15)
+                url = f'http://127.0.0.1:{port}/readyz'
+                async with aiohttp.ClientSession() as session, session.get(url) as resp:
+                    assert resp.status == 200
+                process.send_signal(signal.SIGTERM)
+                return await asyncio.wait_for(process.wait(), 20)
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                await site.stop()
+
+        assert asyncio.run(scenario()) == 0
+
+
+async def _port_of(process):
+    async for line in process.stderr:
+        if b'event=entry_started' in line:
+            return line.decode().split(' port=')[1].split()[0]
+    raise AssertionError('the entry did not start')
+
+
+def _settings_text(site):
+    kv = site.settings_for(SMALL.entries[0], Preset()).platform.key_value
+    return '\n'.join(
+        [
+            '[entry]',
+            "name = 'outside-1'",
+            "zone = 'centro-a'",
+            "region = 'centro'",
+            'port = 0',
+            'peer_port = 0',
+            'admin_port = 0',
+            'slots = 16',
+            '[platform]',
+            f'key_value = {json.dumps(kv)}',
+        ]
+    )
+
+
+class TestCutOff:
+    """The key-value service away for an hour."""
+
+    def test_model_calls_go_on_and_claims_are_refused_as_not_run(self):
+        async def scenario():
+            site = VirtualSite(pacing=CALM)
+            await site.start()
+            port = VirtualPort(site)
+            program = evolve(victim_program(600), deadline_s=7200.0)
+            opened = await port.open(program, None)
+            program_id = opened.document['program_id']
+            site.recorder.opened(program.name, program.name, 600)
+            assert not (await port.call(program.team, program_id, 1, program.calls[0])).refused
+            site.kv.down = True
+            await asyncio.sleep(3600.0)
+            booked = await port.call(program.team, program_id, 2, program.calls[1])
+            model = await port.call(program.team, program_id, 2, program.calls[2])
+            new = await port.open(bystanders()[0], None)
+            site.kv.down = False
+            await asyncio.sleep(120.0)
+            view = [
+                r.entry.keeper.owner.ledger.programs.get(program_id)
+                for r in site.entries.values()
+                if r.entry.keeper.owner is not None
+            ]
+            turns = [len(p.turns) for p in view if p is not None]
+            await site.stop()
+            return booked.document, model.document, new.document, turns
+
+        booked, model, new, turns = run_virtual(scenario())
+        assert (booked['reason'], booked['ran']) == ('platform_down', 'not_run')
+        assert model['durability'] == 'zone'
+        assert new['reason'] == 'platform_down'
+        assert turns == [2]
