--- a/libs/entry/toucanlead_entry/local.py
+++ b/libs/entry/toucanlead_entry/local.py
@@ -120,7 +120,8 @@
         owner = self._keeper.owner
         if owner is None or slot not in self._keeper.owned or owner.journal.fenced:
             raise Refusal(Reason.NOT_OWNER, f'slot {slot}')
-        await self._load(owner, req.program_id)
+        if req.operation is not Operation.ALIVE:  # sweeps must not undo evictions
+            await self._load(owner, req.program_id)
         return owner
 
     async def _load(self, owner: Owner, program_id: str) -> None:
--- a/libs/entry/toucanlead_entry/owner.py
+++ b/libs/entry/toucanlead_entry/owner.py
@@ -77,7 +77,7 @@
         self._runtimes: dict[str, Runtime] = {}
         self._live: dict[tuple[str, int], LiveCall] = {}
         self._applied_early: set[int] = set()
-        self._evicted: set[str] = set()
+        self._evicted_ended: dict[str, bool] = {}
         self.on_ended = lambda program: None
         self.on_fenced = lambda: None
         self.on_durable = lambda records, index: None
@@ -171,7 +171,9 @@
     def alive(self, program_id: str) -> bool:
         """Say whether engines may hold memory for a program."""
         program = self.ledger.programs.get(program_id)
-        return program is not None and not program.ended
+        if program is None:
+            return self._evicted_ended.get(program_id) is False
+        return not program.ended
 
     def doubts(self) -> list[tuple[Program, int]]:
         """Return calls whose outcome is unknown."""
@@ -247,17 +249,18 @@
 
     def has_evicted(self, program_id: str) -> bool:
         """Say whether a program may be in the service and not in memory."""
-        return program_id in self._evicted
+        return program_id in self._evicted_ended
 
     def evict(self, program_id: str) -> None:
         """Remove a saved program from memory, to be loaded again on demand."""
+        ended = self.ledger.programs[program_id].ended
         self.drop(program_id)
-        self._evicted.add(program_id)
+        self._evicted_ended[program_id] = ended
 
     def adopt(self, program: Program) -> None:
         """Take a program into memory that was loaded from the service."""
         self.ledger.programs[program.program_id] = program
-        self._evicted.discard(program.program_id)
+        self._evicted_ended.pop(program.program_id, None)
 
     def drop(self, program_id: str) -> None:
         """Remove a program from memory; it is saved or belongs to another owner."""
--- a/libs/policy/toucanlead_policy/fleet.py
+++ b/libs/policy/toucanlead_policy/fleet.py
@@ -7,6 +7,8 @@
 
 ERROR_HALF_LIFE_S = 20.0
 SERVICE_SMOOTHING = 0.1
+FRESH_REPORT_S = 0.5
+REPORT_HALF_LIFE_S = 1.0
 OWN_LOG_ENTRIES = 128  # reports lag by a few seconds
 
 
@@ -85,14 +87,21 @@
         age_s = max(0.0, now - self._errors_at)
         return self._errors * 0.5 ** (age_s / ERROR_HALF_LIFE_S)
 
-    def outstanding(self) -> int:
-        """Estimate all requests at the replica: its report and our own since."""
-        others = max(0, self.reported - self.own_at_report)
+    def outstanding(self, now: float | None = None) -> float:
+        """Estimate all requests at the replica: its report and our own since.
+
+        With a time given, an old report counts for less: what it shows of
+        others has mostly ended, and trusting it lets entries herd.
+        """
+        others = float(max(0, self.reported - self.own_at_report))
+        if now is not None:
+            late_s = max(0.0, now - self.reported_at - FRESH_REPORT_S)
+            others *= 0.5 ** (late_s / REPORT_HALF_LIFE_S)
         return others + self.own
 
-    def queue_s(self) -> float:
+    def queue_s(self, now: float | None = None) -> float:
         """Estimate the wait before a new request gets a slot."""
-        excess = self.outstanding() + 1 - self.slots
+        excess = self.outstanding(now) + 1 - self.slots
         wait_s = max(0.0, excess) * self.service_s / self.slots
         return wait_s + self.own_tokens / self.prefill_tokens_per_s
 
--- a/libs/policy/toucanlead_policy/routing.py
+++ b/libs/policy/toucanlead_policy/routing.py
@@ -85,7 +85,7 @@
     def cost_ms(self, turn: Turn, replica: ReplicaState, cached: float, now: float) -> float:
         """Return the expected cost in milliseconds."""
         preset = self.preset
-        queue_ms = 1e3 * replica.queue_s()
+        queue_ms = 1e3 * replica.queue_s(now)
         imported = max(0.0, min(turn.exported_tokens, turn.prompt_tokens) - cached)
         missing = turn.prompt_tokens - cached - imported
         prefill_ms = 1e3 * missing / replica.prefill_tokens_per_s
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,113 @@
+"""The journal's fence, against the way that was weighed and left."""
+
+import asyncio
+
+from toucanlead_core.codec import from_json
+from toucanlead_entry.records import SlotRecord, journal_prefix
+from toucanlead_platform.kv import Compare, Delete, Put
+from toucanlead_standins.kv_model import KvModel
+from toucanlead_standins.links import LinkedStore
+from toucanlead_standins.network import Gate, Network, Place
+from toucanlead_standins.virtual_loop import run_virtual
+from toucanlead_trials.virtual_site import VirtualSite
+
+GUARD = 'incarnations/a.1'
+
+
+async def write_of_a_paused_holder(seal, append):
+    """Let a holder pause in the middle of an append, be sealed, and clean up after it."""
+    kv = KvModel(asyncio.get_running_loop().time)
+    place = Place('r', 'z')
+    holder, service = Gate('a', place), Gate('kv', place)
+    store = LinkedStore(Network(), holder, service, kv)
+    kv.txn([], [Put(GUARD, b'open')])
+    guard_rev = kv.get(GUARD).mod_rev
+    holder.pause()
+    writing = asyncio.ensure_future(append(store, guard_rev))
+    await asyncio.sleep(1.0)
+    seal(kv)
+    holder.resume()
+    return await writing
+
+
+class TestFence:
+    def test_a_sealed_incarnation_stays_closed_after_clean_up(self):
+        def seal(kv):
+            kv.txn([], [Put(GUARD, b'sealed')])
+            kv.txn([], [Delete('journal/a.1/00000000'), Delete(GUARD)])
+
+        async def append(store, guard_rev):
+            compares = [Compare('journal/a.1/00000000', 0), Compare(GUARD, guard_rev)]
+            return await store.txn(compares, [Put('journal/a.1/00000000', b'late')])
+
+        assert not run_virtual(write_of_a_paused_holder(seal, append)).succeeded
+
+    def test_a_seal_at_the_next_index_would_not_survive_clean_up(self):
+        def seal(kv):
+            kv.txn([Compare('journal/a.1/00000000', 0)], [Put('journal/a.1/00000000', b'seal')])
+            kv.txn([], [Delete('journal/a.1/00000000')])
+
+        async def append(store, guard_rev):
+            compares = [Compare('journal/a.1/00000000', 0)]
+            return await store.txn(compares, [Put('journal/a.1/00000000', b'late')])
+
+        assert run_virtual(write_of_a_paused_holder(seal, append)).succeeded
+
+
+class TestCleanUp:
+    def test_journals_of_dead_holders_go_once_their_programs_are_saved(self):
+        async def scenario():
+            from toucanlead_trials.caller import Replayer
+            from toucanlead_trials.fault_matrix import bystanders
+            from toucanlead_trials.virtual_site import VirtualPort
+
+            site = VirtualSite()
+            await site.start()
+            replayer = Replayer(VirtualPort(site), site.recorder, 1.0)
+            playing = asyncio.ensure_future(replayer.play(bystanders()))
+            await asyncio.sleep(1.0)
+            owners = {from_json(e.value, SlotRecord).holder for e in site.kv.scan('slots/')}
+            dead = sorted(owners)[0]
+            site.kill(dead.rpartition('.')[0])
+            await playing
+            await asyncio.sleep(20.0)
+            left = site.kv.scan(journal_prefix(dead))
+            lineages = [from_json(e.value, SlotRecord).lineage for e in site.kv.scan('slots/')]
+            await site.stop()
+            return left, lineages, dead, replayer.report
+
+        left, lineages, dead, report = run_virtual(scenario())
+        assert left == []
+        assert all(dead not in lineage for lineage in lineages)
+        assert report.unexpected == []
+
+    def test_idle_programs_leave_memory_and_come_back_on_demand(self):
+        async def scenario():
+            from attrs import evolve
+
+            from toucanlead_trials.fault_matrix import victim_program
+            from toucanlead_trials.virtual_site import VirtualPort
+
+            site = VirtualSite()
+            site.pacing.idle_evict_s = 5.0
+            await site.start()
+            port = VirtualPort(site)
+            program = evolve(victim_program(600), deadline_s=3600.0)
+            site.recorder.opened(program.name, program.name, 600)
+            opened = await port.open(program, None)
+            program_id = opened.document['program_id']
+            first = await port.call(program.team, program_id, 1, program.calls[0])
+            site.recorder.call_sent(program.name, 1, first.document['content'])
+            site.recorder.call_answered(program.name, 1, first.document['content'])
+            await asyncio.sleep(30.0)
+            held = [
+                program_id in r.entry.keeper.owner.ledger.programs for r in site.entries.values()
+            ]
+            again = await port.call(program.team, program_id, 2, program.calls[2])
+            await site.stop()
+            return held, again, site.recorder.violations()
+
+        held, again, violations = run_virtual(scenario())
+        assert held == [False, False, False]
+        assert not again.refused, again
+        assert violations == []
