--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 binary: dist/toucanlead
 
 dist/toucanlead: $(STAMP) $(wildcard libs/*/toucanlead*/*.py)
-	rm -rf build/site dist
+	rm -rf build/site dist $(foreach lib,$(LIBS),libs/$(lib)/build)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock --target build/site
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site $(foreach lib,$(LIBS),./libs/$(lib))
 	mkdir -p dist
--- a/libs/entry/toucanlead_entry/model_calls.py
+++ b/libs/entry/toucanlead_entry/model_calls.py
@@ -266,12 +266,8 @@
             raise self._refusal(refusal.reason, refusal.detail, live, Step.RESERVE) from None
 
     def _fail_replica(self, name: str, progress: _Progress) -> None:
-        now = self._ctx.timers.now()
-        self._breaker.failed(name, now)
+        self._breaker.failed(name, self._ctx.timers.now())
         progress.avoid.add(name)
-        replica = self._ctx.fleet.replicas.get(name)
-        if replica is not None:
-            replica.failed(now)
 
     def _may_retry(self, detail: str, live: LiveCall, progress: _Progress, peer: str) -> None:
         limit = self._ctx.preset.attempts
--- a/libs/policy/toucanlead_policy/fleet.py
+++ b/libs/policy/toucanlead_policy/fleet.py
@@ -1,11 +1,10 @@
-"""What an entry knows of each replica: capacity, load, errors, drains."""
+"""What an entry knows of each replica: capacity, load, drains."""
 
 import math
 from collections import deque
 
 from attrs import define, field, frozen
 
-ERROR_HALF_LIFE_S = 20.0
 SERVICE_SMOOTHING = 0.1
 FRESH_REPORT_S = 0.5
 REPORT_HALF_LIFE_S = 1.0
@@ -41,8 +40,6 @@
     cache_share: float = 0.0
     service_s: float = 2.0
     _own_log: deque[OwnCount] = field(factory=lambda: deque(maxlen=OWN_LOG_ENTRIES))
-    _errors: float = 0.0
-    _errors_at: float = 0.0
 
     def sent(self, tokens: float, now: float) -> None:
         """Note a request on its way, with the tokens it is expected to prefill."""
@@ -77,16 +74,6 @@
                 return entry.own
         return 0 if len(self._own_log) < OWN_LOG_ENTRIES else self.own
 
-    def failed(self, now: float) -> None:
-        """Note an error."""
-        self._errors = self.errors(now) + 1.0
-        self._errors_at = now
-
-    def errors(self, now: float) -> float:
-        """Return recent errors, halved every half-life."""
-        age_s = max(0.0, now - self._errors_at)
-        return self._errors * 0.5 ** (age_s / ERROR_HALF_LIFE_S)
-
     def outstanding(self, now: float | None = None) -> float:
         """Estimate all requests at the replica: its report and our own since.
 
@@ -105,10 +92,6 @@
         wait_s = max(0.0, excess) * self.service_s / self.slots
         return wait_s + self.own_tokens / self.prefill_tokens_per_s
 
-    def report_age_s(self, now: float) -> float:
-        """Return the age of the load report, bounded for arithmetic."""
-        return min(60.0, now - self.reported_at)
-
 
 @define
 class Prefilling:
--- a/libs/policy/toucanlead_policy/preset.py
+++ b/libs/policy/toucanlead_policy/preset.py
@@ -18,7 +18,6 @@
     queue_weight: float = field(default=1.0, validator=validators.ge(0))
     prefill_weight: float = field(default=1.0, validator=validators.ge(0))
     link_weight: float = field(default=1.0, validator=validators.ge(0))
-    risk_weight: float = field(default=1.0, validator=validators.ge(0))
     candidates: int = field(default=3, validator=_POSITIVE)
     admit_queue_s: float = field(default=20.0, validator=_POSITIVE)
     turn_queue_s: float = field(default=120.0, validator=_POSITIVE)
--- a/libs/policy/toucanlead_policy/routing.py
+++ b/libs/policy/toucanlead_policy/routing.py
@@ -10,8 +10,6 @@
 from .preset import Preset
 
 LINK_LATENCY_MS = 40.0  # a round trip between regions
-STALE_MS_PER_S = 2.0
-ERROR_MS = 400.0
 
 
 @frozen
@@ -73,7 +71,7 @@
     def choose(
         self, turn: Turn, fleet: Fleet, now: float, avoid: frozenset[str] = frozenset()
     ) -> Choice | None:
-        """Weigh queue, prefill, link and risk for each candidate."""
+        """Weigh queue, prefill and link for each candidate."""
         best: Choice | None = None
         for replica in self._candidates(turn, fleet, avoid):
             cached = self._cached(turn, replica.name)
@@ -93,13 +91,10 @@
         link_ms = 0.0
         if replica.region != turn.region:
             link_ms = LINK_LATENCY_MS + 1e3 * turn.prompt_bytes / self.link_bytes_per_s
-        risk_ms = ERROR_MS * replica.errors(now)
-        risk_ms += STALE_MS_PER_S * replica.report_age_s(now)
         return (
             preset.queue_weight * queue_ms
             + preset.prefill_weight * prefill_ms
             + preset.link_weight * link_ms
-            + preset.risk_weight * risk_ms
         )
 
     def _cached(self, turn: Turn, replica: str) -> float:
--- a/libs/trials/toucanlead_trials/bench_policy.py
+++ b/libs/trials/toucanlead_trials/bench_policy.py
@@ -60,7 +60,6 @@
         evolve(whole, name='no_own_load', own_load=False),
         product(evolve(ORDINARY, prefill_weight=0.0), 'no_cache_cost'),
         product(evolve(ORDINARY, queue_weight=0.0), 'no_queue_cost'),
-        product(evolve(ORDINARY, risk_weight=0.0), 'no_risk'),
         product(evolve(ORDINARY, candidates=1), 'one_candidate'),
         product(evolve(ORDINARY, candidates=1000), 'all_candidates'),
     ]
--- a/libs/trials/toucanlead_trials/bench_run.py
+++ b/libs/trials/toucanlead_trials/bench_run.py
@@ -294,7 +294,6 @@
         prefilling.stop()
         replica.done(now, None if result.failed else now - sent_at)
         if result.failed:
-            replica.failed(now)
             self._loop.after(RETRY_S, lambda: self._route(run, avoid | frozenset([choice.replica])))
             return
         self._account(run, result)
