--- a/libs/entry/toucanlead_entry/slots.py
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -34,6 +34,7 @@
 
 TAKEOVER_SPREAD = 8  # entries among which a dead entry's slots are spread
 CLAIMS_PER_ROUND = 64
+MEMBERS_PER_RESCAN = 50  # beyond, the view is read anew less often
 MEMBERS_PER_LEASE_S = 40  # 350 members renew 9 s leases each 3 s: 117 writes a second
 
 
@@ -119,7 +120,8 @@
         while True:
             try:
                 await self.refresh()
-                await asyncio.wait_for(self._watch_all(), self._ctx.pacing.rescan_s)
+                growth = max(1.0, len(self.view.members) / MEMBERS_PER_RESCAN)
+                await asyncio.wait_for(self._watch_all(), growth * self._ctx.pacing.rescan_s)
             except TimeoutError:
                 continue
             except PeerError as exc:
