Settlement and request bodies in modules of their own

Cause: owner.py held settlement besides the calls (560 lines), and bodies were parsed in three places (duplicates).

--- a/libs/entry/toucanlead_entry/admin_api.py
+++ b/libs/entry/toucanlead_entry/admin_api.py
@@ -11,6 +11,7 @@
 from toucanlead_peer.messages import ForwardReq, Operation, Result
 
 from .auth import KeyRing
+from .bodies import typed_body
 from .entry import Entry
 from .local import Doubt, Resolution
 
@@ -54,13 +55,12 @@
     async def resolve(self, req: web.Request) -> web.Response:
         """POST /admin/doubts/{program}/{seq}."""
         self._keys.check_admin(req)
-        try:
-            resolution = converter.structure(orjson.loads(await req.read()), Resolution)
-            seq = int(req.match_info['seq'])
-        except Exception as exc:
-            raise Refusal(Reason.BAD_REQUEST, f'not a resolution: {exc}') from None
+        resolution = typed_body(await req.read(), Resolution)
+        seq = req.match_info['seq']
+        if not seq.isdecimal():
+            raise Refusal(Reason.BAD_REQUEST, f'seq: expected a number, got {seq!r}')
         forward = ForwardReq(
-            Operation.RESOLVE, '', req.match_info['program'], seq, to_json(resolution)
+            Operation.RESOLVE, '', req.match_info['program'], int(seq), to_json(resolution)
         )
         await self._entry.gateway.result(forward, bool)
         return _json({'resolved': True})
--- a/libs/entry/toucanlead_entry/checkpoints.py
+++ b/libs/entry/toucanlead_entry/checkpoints.py
@@ -15,6 +15,7 @@
 from .context import Context
 from .owner import Owner
 from .records import journal_key, journal_prefix
+from .settlement import settlement
 
 log = structlog.get_logger()
 
@@ -66,9 +67,9 @@
         """Save programs for an heir, this holder's open grants given back."""
         settled: list[Record] = []
         for program_id in program_ids:
-            settlement = self._owner.settlement(program_id)
-            if settlement is not None:
-                settled.append(settlement)
+            found = settlement(self._owner.ledger, self._owner.holder, program_id)
+            if found is not None:
+                settled.append(found)
         if settled:
             await self._owner.journal.append(settled, urgent=True)
         for program_id in program_ids:
--- a/libs/entry/toucanlead_entry/config_api.py
+++ b/libs/entry/toucanlead_entry/config_api.py
@@ -11,6 +11,7 @@
 from toucanlead_policy.preset import Preset
 
 from .auth import KeyRing
+from .bodies import json_object, typed_body
 from .config_keeper import ConfigKeeper
 from .config_records import DRAINS_SECTION, ConfigHead, TeamEntry, preset_section, team_section
 from .entry import Entry
@@ -60,12 +61,9 @@
         """PUT /admin/presets/{name}."""
         author = self._keys.check_admin(req)
         name = req.match_info['name']
-        body = await _object(req)
+        body = await json_object(req)
         body['name'] = name
-        try:
-            preset = from_json(orjson.dumps(body), Preset)
-        except ValueError as exc:
-            raise Refusal(Reason.BAD_REQUEST, str(exc)) from None
+        preset = typed_body(orjson.dumps(body), Preset)
         sections = {preset_section(name): to_json(preset)}
         return await self._change(req, sections, None, author, f'put preset {name}')
 
@@ -79,11 +77,8 @@
         """PUT /admin/teams/{team}: its key digests, several during a rotation."""
         author = self._keys.check_admin(req)
         name = req.match_info['team']
-        body = await _object(req)
-        try:
-            team = from_json(orjson.dumps({**body, 'name': name}), TeamEntry)
-        except ValueError as exc:
-            raise Refusal(Reason.BAD_REQUEST, str(exc)) from None
+        body = await json_object(req)
+        team = typed_body(orjson.dumps({**body, 'name': name}), TeamEntry)
         section = team_section(name)
         text = self._config.section(section)
         group = from_json(text.encode(), list[TeamEntry]) if text else []
@@ -176,16 +171,6 @@
     return int(text.strip('"'))
 
 
-async def _object(req: web.Request) -> dict[str, Any]:
-    try:
-        body = orjson.loads(await req.read())
-    except orjson.JSONDecodeError as exc:
-        raise Refusal(Reason.BAD_REQUEST, f'malformed JSON: {exc}') from None
-    if not isinstance(body, dict):
-        raise Refusal(Reason.BAD_REQUEST, 'expected a JSON object')
-    return body
-
-
 def _json(value: Any, config: ConfigKeeper) -> web.Response:
     headers = {'ETag': f'"{config.head.revision}"'}
     return web.Response(body=orjson.dumps(value), content_type='application/json', headers=headers)
--- a/libs/entry/toucanlead_entry/entry.py
+++ b/libs/entry/toucanlead_entry/entry.py
@@ -37,6 +37,7 @@
 from .local import LocalService
 from .owner import Owner
 from .releaser import Releaser
+from .settlement import settlements
 from .slots import SlotKeeper, tolerate
 from .tails import TailKeeper
 
@@ -180,9 +181,9 @@
     async def _leave_tail(self, owner: Owner) -> None:
         """Keep for the new owners what this one wrote too late, and what it spent."""
         lost = list(owner.lost)
-        settlements = owner.settlements(lost)
+        settled = settlements(owner.ledger, owner.holder, lost)
         await owner.abandon()
-        self.tails.keep_lost(owner.holder, [*lost, *settlements])
+        self.tails.keep_lost(owner.holder, [*lost, *settled])
 
     async def _upkeep(self) -> None:
         owner = self.keeper.owner
--- a/libs/entry/toucanlead_entry/http_api.py
+++ b/libs/entry/toucanlead_entry/http_api.py
@@ -8,13 +8,14 @@
 import structlog
 from aiohttp import web
 
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import to_json
 from toucanlead_core.errors import Ran, Reason, Refusal
 from toucanlead_core.ids import child_id_for, program_id_for
 from toucanlead_core.messages import CallReq, Chunk, ProgramSpec
 from toucanlead_peer.messages import ForwardReq, Frame, Operation
 
 from .auth import KeyRing
+from .bodies import json_object, typed_body
 from .entry import Entry
 from .problems import problem_document, problem_response
 from .settings import LimitsSection
@@ -67,9 +68,9 @@
     async def open(self, req: web.Request) -> web.StreamResponse:
         """POST /v1/programs."""
         team = self._team(req)
-        body = await _json_object(req)
+        body = await json_object(req)
         body['key'] = self._idempotency_key(req)
-        spec = _structured(orjson.dumps(body), ProgramSpec)
+        spec = typed_body(orjson.dumps(body), ProgramSpec)
         _check_spec(spec)
         program_id = self.program_id(team, spec)
         forward = ForwardReq(Operation.OPEN, team, program_id, body=to_json(spec))
@@ -88,7 +89,7 @@
     async def call(self, req: web.Request) -> web.StreamResponse:
         """POST /v1/programs/{program}/calls."""
         team = self._team(req)
-        call = _structured(await req.read(), CallReq)
+        call = typed_body(await req.read(), CallReq)
         _check_call(call)
         forward = ForwardReq(
             Operation.CALL,
@@ -210,23 +211,6 @@
     return int(text)
 
 
-async def _json_object(req: web.Request) -> dict:
-    try:
-        body = orjson.loads(await req.read())
-    except orjson.JSONDecodeError as exc:
-        raise Refusal(Reason.BAD_REQUEST, f'malformed JSON: {exc}') from None
-    if not isinstance(body, dict):
-        raise Refusal(Reason.BAD_REQUEST, 'expected a JSON object')
-    return body
-
-
-def _structured(body: bytes, kind: type):
-    try:
-        return from_json(body, kind)
-    except ValueError as exc:
-        raise Refusal(Reason.BAD_REQUEST, str(exc)) from None
-
-
 def _check_spec(spec: ProgramSpec) -> None:
     if spec.budget < 1:
         raise Refusal(Reason.BAD_REQUEST, f'budget: expected at least 1, got {spec.budget}')
--- a/libs/entry/toucanlead_entry/local.py
+++ b/libs/entry/toucanlead_entry/local.py
@@ -6,12 +6,13 @@
 import orjson
 from attrs import frozen
 
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import to_json
 from toucanlead_core.errors import Reason, Refusal
 from toucanlead_core.ids import slot_of_program
 from toucanlead_core.messages import Answer, CallReq, Chunk, ProgramSpec
 from toucanlead_peer.messages import ForwardReq, Frame, Operation, Result
 
+from .bodies import typed_body
 from .checkpoints import load_program
 from .context import Context
 from .owner import Owner
@@ -91,13 +92,13 @@
     def _follow(self, owner: Owner, req: ForwardReq) -> AsyncIterator[Chunk | Answer]:
         if req.operation is Operation.FETCH:
             return owner.fetch(req.team, req.program_id, req.seq, req.from_offset)
-        call = _parse(req.body, CallReq)
+        call = typed_body(req.body, CallReq)
         return owner.call(req.team, req.program_id, call, req.from_offset)
 
     async def _document(self, owner: Owner, req: ForwardReq) -> bytes:
         match req.operation:
             case Operation.OPEN:
-                spec = _parse(req.body, ProgramSpec)
+                spec = typed_body(req.body, ProgramSpec)
                 return to_json(await owner.open(req.team, req.program_id, spec))
             case Operation.SHOW:
                 return to_json(owner.show(req.team, req.program_id))
@@ -106,7 +107,7 @@
             case Operation.ALIVE:
                 return orjson.dumps(owner.alive(req.program_id))
             case Operation.RESOLVE:
-                resolution = _parse(req.body, Resolution)
+                resolution = typed_body(req.body, Resolution)
                 await owner.resolve(req.program_id, req.seq, resolution.content)
                 return orjson.dumps(True)
         raise Refusal(Reason.BAD_REQUEST, req.operation.value)
@@ -139,10 +140,3 @@
         if program.opened.parent is not None:
             await self._load(owner, program.opened.parent)
         owner.adopt(program)
-
-
-def _parse(body: bytes, kind: type):
-    try:
-        return from_json(body, kind)
-    except ValueError as exc:
-        raise Refusal(Reason.BAD_REQUEST, str(exc)) from None
--- a/libs/entry/toucanlead_entry/owner.py
+++ b/libs/entry/toucanlead_entry/owner.py
@@ -1,7 +1,7 @@
 """Owner: the programs of the slots that this incarnation of the entry owns."""
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 
 import structlog
 from attrs import define, evolve, field
@@ -28,8 +28,6 @@
     Granted,
     Opened,
     Record,
-    Settled,
-    Spent,
     Unclaimed,
 )
 
@@ -202,35 +200,6 @@
         await self._durably([Adopted(program_id, holder, finished)], Step.RECORD)
         self.tools.settled(program, seq, self.ledger.escrow_of(program))
 
-    def settlement(self, root_id: str, lost: Sequence[Record] = ()) -> Settled | None:
-        """Return the most that this holder can have spent of a root's budget.
-
-        That is what is durable, what was written and is not, what is reserved
-        for calls under way, and calls in doubt.
-        """
-        program = self.ledger.programs.get(root_id)
-        if program is None or program.escrow is None:
-            return None
-        escrow = program.escrow
-        if self.holder not in escrow.grants:
-            return None
-        tree = {p.program_id for p in self._tree(root_id)}
-        undurable = sum(_expense(r) for r in lost if r.program_id in tree)
-        doubted = sum(
-            held.claim.cost
-            for p in self._tree(root_id)
-            for held in p.claims.values()
-            if held.holder == self.holder
-        )
-        limit = escrow.grants[self.holder].spent + escrow.reserved + undurable + doubted
-        return Settled(root_id, self.holder, limit)
-
-    def settlements(self, lost: Sequence[Record]) -> list[Settled]:
-        """Return the settlements of all root programs, after a takeover."""
-        roots = [p for p in self.ledger.programs.values() if p.escrow is not None]
-        found = (self.settlement(p.program_id, lost) for p in roots if not p.ended)
-        return [settlement for settlement in found if settlement is not None]
-
     async def abandon(self) -> None:
         """Cancel every call under way; their outcomes could not be written."""
         tasks = [live.task for live in self._live.values() if live.task is not None]
@@ -238,10 +207,6 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _tree(self, root_id: str) -> list[Program]:
-        programs = self.ledger.programs.values()
-        return [p for p in programs if self.ledger.root_of(p).program_id == root_id]
-
     def take(self, staged: Ledger) -> None:
         """Take the programs of a slot that was claimed."""
         self.ledger.programs.update(staged.programs)
@@ -533,12 +498,6 @@
     return live.reserved
 
 
-def _expense(record: Record) -> int:
-    if isinstance(record, Finished):
-        return record.answer.cost
-    return record.units if isinstance(record, Spent) else 0
-
-
 def _spec_digest(spec: ProgramSpec) -> str:
     texts = [spec.model, str(spec.budget), str(spec.deadline_s), spec.parent or '']
     return CallReq(0, CallKind.MODEL, [Message('spec', t) for t in texts]).digest()
--- /dev/null
+++ b/libs/entry/toucanlead_entry/settlement.py
@@ -0,0 +1,45 @@
+"""Settlement: the most that a holder can have spent of each root program's budget."""
+
+from collections.abc import Sequence
+
+from toucanlead_state.ledger import Ledger, Program
+from toucanlead_state.records import Finished, Record, Settled, Spent
+
+
+def settlement(
+    ledger: Ledger, holder: str, root_id: str, lost: Sequence[Record] = ()
+) -> Settled | None:
+    """Return a holder's settlement of one root program, None without a grant.
+
+    It may have spent what is durable, what was written and is not, what is
+    reserved for calls under way, and what calls in doubt cost.
+    """
+    program = ledger.programs.get(root_id)
+    if program is None or program.escrow is None or holder not in program.escrow.grants:
+        return None
+    tree = _tree(ledger, root_id)
+    names = {p.program_id for p in tree}
+    undurable = sum(_expense(record) for record in lost if record.program_id in names)
+    doubted = sum(
+        held.claim.cost for p in tree for held in p.claims.values() if held.holder == holder
+    )
+    known = program.escrow.grants[holder].spent + program.escrow.reserved
+    return Settled(root_id, holder, known + undurable + doubted)
+
+
+def settlements(ledger: Ledger, holder: str, lost: Sequence[Record]) -> list[Settled]:
+    """Return the settlements of all root programs, after a takeover."""
+    roots = [p for p in ledger.programs.values() if p.escrow is not None and not p.ended]
+    found = (settlement(ledger, holder, root.program_id, lost) for root in roots)
+    return [one for one in found if one is not None]
+
+
+def _tree(ledger: Ledger, root_id: str) -> list[Program]:
+    programs = ledger.programs.values()
+    return [p for p in programs if ledger.root_of(p).program_id == root_id]
+
+
+def _expense(record: Record) -> int:
+    if isinstance(record, Finished):
+        return record.answer.cost
+    return record.units if isinstance(record, Spent) else 0
