--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LIBS := core policy state platform backends peer entry standins trials cli
 STAMP := $(VENV)/installed
 
-.PHONY: demo test faults faults-full bench slopes binary lock check format proto traces lock clean
+.PHONY: demo test faults faults-full fuzz bench slopes binary lock check format proto traces lock clean
 
 demo: $(STAMP)
 	$(BIN)/toucanlead demo
@@ -19,6 +19,9 @@
 faults-full: $(STAMP)
 	$(BIN)/toucanlead faults --full
 
+fuzz: $(STAMP)
+	TOUCANLEAD_FUZZ=1 $(BIN)/python -m pytest tests/test_state.py
+
 bench: $(STAMP)
 	$(BIN)/toucanlead bench
 
--- a/libs/trials/toucanlead_trials/slopes.py
+++ b/libs/trials/toucanlead_trials/slopes.py
@@ -8,7 +8,7 @@
 
 from attrs import frozen
 
-from toucanlead_core.codec import to_json
+from toucanlead_core.codec import from_json, to_json
 from toucanlead_core.messages import Answer, CallKind, CallReq, Message
 from toucanlead_entry.context import Pacing
 from toucanlead_policy.beliefs import CacheBeliefs
@@ -16,7 +16,7 @@
 from toucanlead_policy.preset import Preset
 from toucanlead_policy.routing import ExpectedCostRouter, Turn
 from toucanlead_state.ledger import Ledger
-from toucanlead_state.records import Finished, Opened
+from toucanlead_state.records import Finished, Opened, Segment
 
 from .rollout import Trouble, measure_rollout
 from .site import EntryPlace, Site, SitePlan
@@ -59,6 +59,7 @@
         belief_memory,
         program_memory,
         record_bytes,
+        recovery_time,
         idle_cost_by_entries,
         kv_calls_by_entries,
         rollout_time,
@@ -124,6 +125,13 @@
     return _result('journal record', 'bytes', 'tokens of a turn', sizes, values)
 
 
+def recovery_time() -> SlopeResult:
+    """Milliseconds to rebuild a slot from a sealed journal, against its programs."""
+    sizes = [50, 100, 200, 400]
+    values = [_recovery_ms(int(size)) for size in sizes]
+    return _result('slot rebuilt from a journal', 'ms', 'programs of ten turns', sizes, values)
+
+
 def idle_cost_by_entries() -> SlopeResult:
     """Control cost of an idle entry, in thousandths of a core, against entries."""
     sizes = [2, 4, 8, 16]
@@ -187,6 +195,21 @@
     return IdleCost(1000 * cpu_s / wall_s / entries, calls / wall_s)
 
 
+def _recovery_ms(programs: int) -> float:
+    segments = []
+    for number in range(programs):
+        name = f'p0001-{number:020x}'
+        opened = Opened(name, 'team', 'm', 9999, name, 60.0, None, 100, 'd')
+        turns = [_finished(name, seq) for seq in range(1, 11)]
+        segments.append(to_json(Segment('n', 'a.1', number, [opened, *turns])))
+    started = time.perf_counter()
+    ledger = Ledger()
+    for data in segments:
+        for record in from_json(data, Segment).records:
+            ledger.apply(record, 'a.1')
+    return round(1000 * (time.perf_counter() - started), 2)
+
+
 def _decision_us(replicas: int) -> float:
     fleet = Fleet()
     for number in range(replicas):
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,5 +1,7 @@
 """State machines without I/O: budget escrow, ledger and batcher."""
 
+import os
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -13,7 +15,13 @@
 from toucanlead_state.records import Adopted, Finished, Opened, Segment, Unclaimed
 
 HOLDERS = st.sampled_from(['a.1', 'b.1', 'c.1'])
-STEADY = settings(derandomize=True, max_examples=60, stateful_step_count=30, deadline=None)
+FUZZ = 'TOUCANLEAD_FUZZ' in os.environ  # `make fuzz` searches longer, from random seeds
+STEADY = settings(
+    derandomize=not FUZZ,
+    max_examples=3000 if FUZZ else 60,
+    stateful_step_count=60 if FUZZ else 30,
+    deadline=None,
+)
 
 
 def finished(seq, cost=5, grant=0, text='answer'):
