--- a/libs/entry/toucanlead_entry/live.py
+++ b/libs/entry/toucanlead_entry/live.py
@@ -54,11 +54,6 @@
             self._outcome = outcome
             self._signal()
 
-    @property
-    def finished(self) -> bool:
-        """Say whether the outcome is known."""
-        return self._outcome is not None
-
     async def follow(self, from_offset: int) -> AsyncIterator[Chunk | Answer]:
         """Yield chunks from an offset in tokens, then the answer, or raise the refusal."""
         position = 0
--- a/libs/policy/toucanlead_policy/preset.py
+++ b/libs/policy/toucanlead_policy/preset.py
@@ -34,11 +34,8 @@
     record_wait_s: float = field(default=2.0, validator=_POSITIVE)
     grant_calls: int = field(default=4, validator=_POSITIVE)
     aging_s: float = field(default=30.0, validator=_POSITIVE)
-    hold_pause_s: float = field(default=60.0, validator=validators.ge(0))
 
 
 ORDINARY = Preset()
-PEAK = Preset(
-    name='peak', admit_queue_s=8.0, turn_queue_s=60.0, retry_share=0.05, hold_pause_s=20.0
-)
+PEAK = Preset(name='peak', admit_queue_s=8.0, turn_queue_s=60.0, retry_share=0.05)
 MAINTENANCE = Preset(name='maintenance', candidates=4, admit_queue_s=40.0, attempts=4)
--- a/libs/policy/toucanlead_policy/retention.py
+++ b/libs/policy/toucanlead_policy/retention.py
@@ -32,30 +32,6 @@
         samples = self._pauses.get(kind)
         return sum(samples) / len(samples) if samples else UNKNOWN_PAUSE_S
 
-    def hold_s(self, kind: str, recompute_s: float, pressure: float) -> float:
-        """Return how long keeping the cache is worth its memory.
-
-        Holding costs pressure (0 to 1, the share of memory in demand) per
-        second, recomputing costs `recompute_s`. With samples, the best hold
-        time over them; without, the ski-rental bound: hold until the cost of
-        holding equals the cost of recomputing.
-        """
-        price = max(pressure, 1e-3)
-        bound_s = recompute_s / price
-        samples = self._pauses.get(kind)
-        if not samples or len(samples) < 8:
-            return bound_s
-        options = [0.0, *sorted(samples), bound_s]
-        return min(options, key=lambda h: _mean_cost(samples, h, recompute_s, price))
-
-
-def _mean_cost(samples: deque[float], hold_s: float, recompute_s: float, price: float) -> float:
-    total = 0.0
-    for pause_s in samples:
-        total += price * min(pause_s, hold_s)
-        total += recompute_s if pause_s > hold_s else 0.0
-    return total / len(samples)
-
 
 def decide(pause_s: float, recompute_s: float, export_s: float, pressure: float) -> Retention:
     """Return the cheapest for a predicted pause; all costs in engine seconds."""
