The regions that have replicas asked of the fleet in one place

Cause: two methods of the slot keeper worked them out alike. No behaviour changes; make check and 11 tests of stops, hand-over and journals pass.

--- a/libs/entry/toucanlead_entry/slots.py
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -198,14 +198,14 @@
         Whole prompts cross from the owner to the engine and only deltas from
         the caller to the owner, so owners sit in the replicas' regions.
         """
-        regions = {replica.region for replica in self._ctx.fleet.replicas.values()}
+        regions = self._ctx.fleet.regions()
         members = self.view.members.values()
         near = sorted(m.entry for m in members if m.region in regions)
         return near or sorted(self.view.members)
 
     def _is_far(self) -> bool:
         """Say whether every replica is in another region."""
-        regions = {replica.region for replica in self._ctx.fleet.replicas.values()}
+        regions = self._ctx.fleet.regions()
         return bool(regions) and self._ctx.identity.region not in regions
 
     def owner_of(self, slot: int) -> SlotRecord | None:
--- a/libs/policy/toucanlead_policy/fleet.py
+++ b/libs/policy/toucanlead_policy/fleet.py
@@ -129,6 +129,10 @@
         """Return the models that have replicas."""
         return sorted(model for model, names in self._by_model.items() if names)
 
+    def regions(self) -> set[str]:
+        """Return the regions that have replicas."""
+        return {replica.region for replica in self.replicas.values()}
+
     def of_model(self, model: str) -> list[str]:
         """Return the names of a model's replicas; not to be changed."""
         return self._by_model.get(model, [])
