Key-value and VM list clients renamed to libs/kv

Cause: the customers' platform gets an adapter in a root folder named platform/; the library of that name holds the product's own key-value interface, the VM list and the etcd client. Change: libs/platform becomes libs/kv, toucanlead_platform becomes toucanlead_kv. No behaviour changes. Conclusion: the name platform is free for the adapter.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := core policy state platform backends peer entry standins trials cli
+LIBS := core policy state kv backends peer entry standins trials cli
 STAMP := $(VENV)/installed
 
 .PHONY: demo test faults faults-full fuzz bench slopes binary lock check format proto traces lock clean
--- a/libs/entry/toucanlead_entry/checkpoints.py
+++ b/libs/entry/toucanlead_entry/checkpoints.py
@@ -7,7 +7,7 @@
 from toucanlead_core.codec import from_json, to_json
 from toucanlead_core.errors import Fenced, Step
 from toucanlead_core.ids import slot_of_program
-from toucanlead_platform.kv import Compare, Delete, KvEntry, Put
+from toucanlead_kv.kv import Compare, Delete, KvEntry, Put
 from toucanlead_state.checkpoint import Head, Part, head_of, new_parts, restore
 from toucanlead_state.ledger import Ledger, Program
 from toucanlead_state.records import Record, Segment
--- a/libs/entry/toucanlead_entry/config_keeper.py
+++ b/libs/entry/toucanlead_entry/config_keeper.py
@@ -7,8 +7,8 @@
 
 from toucanlead_core.codec import from_json, to_json
 from toucanlead_core.errors import NotSent, OutcomeUnknown, PeerError, Ran, Reason, Refusal, Step
+from toucanlead_kv.kv import Put
 from toucanlead_peer.messages import ForwardReq, Operation, ProbeReply, ProbeReq, Result
-from toucanlead_platform.kv import Put
 from toucanlead_policy.preset import Preset
 
 from .backend_watch import LeavingMarks
--- a/libs/entry/toucanlead_entry/context.py
+++ b/libs/entry/toucanlead_entry/context.py
@@ -14,9 +14,9 @@
 from toucanlead_core.errors import Step
 from toucanlead_core.ids import random_id
 from toucanlead_core.timers import Timers
+from toucanlead_kv.kv import KeyValueStore
+from toucanlead_kv.settle import SettledWriter
 from toucanlead_peer.transport import PeerTransport
-from toucanlead_platform.kv import KeyValueStore
-from toucanlead_platform.settle import SettledWriter
 from toucanlead_policy.beliefs import CacheBeliefs
 from toucanlead_policy.fleet import Fleet
 from toucanlead_policy.preset import Preset
--- a/libs/entry/toucanlead_entry/entry.py
+++ b/libs/entry/toucanlead_entry/entry.py
@@ -13,6 +13,7 @@
     Refusal,
 )
 from toucanlead_core.ids import rendezvous, slot_of_program
+from toucanlead_kv.vmlist import VmList
 from toucanlead_peer.messages import (
     ForwardReq,
     Frame,
@@ -23,7 +24,6 @@
     TailPiece,
 )
 from toucanlead_peer.transport import PeerHandler
-from toucanlead_platform.vmlist import VmList
 from toucanlead_state.ledger import Ledger
 
 from .backend_watch import BackendWatch, LeavingMarks
--- a/libs/entry/toucanlead_entry/journal.py
+++ b/libs/entry/toucanlead_entry/journal.py
@@ -7,7 +7,7 @@
 
 from toucanlead_core.codec import from_json, to_json
 from toucanlead_core.errors import Fenced, NotSent, OutcomeUnknown, Step
-from toucanlead_platform.kv import Compare, Put
+from toucanlead_kv.kv import Compare, Put
 from toucanlead_state.batcher import Batcher, commit_delay_s
 from toucanlead_state.records import Record, Segment
 
--- a/libs/entry/toucanlead_entry/slots.py
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -10,7 +10,7 @@
 from toucanlead_core.codec import from_json, to_json
 from toucanlead_core.errors import NotSent, OutcomeUnknown, PeerError
 from toucanlead_core.ids import rendezvous
-from toucanlead_platform.kv import KvEntry, Put, WatchEvent
+from toucanlead_kv.kv import KvEntry, Put, WatchEvent
 from toucanlead_state.ledger import Ledger
 from toucanlead_state.records import Segment
 
--- a/libs/standins/toucanlead_standins/kv_model.py
+++ b/libs/standins/toucanlead_standins/kv_model.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from toucanlead_platform.kv import (
+from toucanlead_kv.kv import (
     Compare,
     Delete,
     KvCounters,
--- a/libs/standins/toucanlead_standins/kv_server.py
+++ b/libs/standins/toucanlead_standins/kv_server.py
@@ -7,7 +7,7 @@
 import orjson
 from aiohttp import web
 
-from toucanlead_platform.kv import Compare, Delete, KvEntry, Put
+from toucanlead_kv.kv import Compare, Delete, KvEntry, Put
 
 from .kv_model import KvModel
 
--- a/libs/standins/toucanlead_standins/links.py
+++ b/libs/standins/toucanlead_standins/links.py
@@ -15,9 +15,7 @@
 from toucanlead_backends.tool import ToolOutcome, ToolReq, ToolService
 from toucanlead_core.errors import NotSent, OutcomeUnknown
 from toucanlead_core.messages import Chunk
-from toucanlead_peer.messages import ForwardReq, Frame, ProbeReply, ProbeReq, TailPiece
-from toucanlead_peer.transport import PeerHandler, PeerTransport
-from toucanlead_platform.kv import (
+from toucanlead_kv.kv import (
     Compare,
     Delete,
     KeyValueStore,
@@ -26,6 +24,8 @@
     TxnResult,
     WatchEvent,
 )
+from toucanlead_peer.messages import ForwardReq, Frame, ProbeReply, ProbeReq, TailPiece
+from toucanlead_peer.transport import PeerHandler, PeerTransport
 
 from .kv_model import KvModel
 from .network import REQUEST_TIMEOUT_S, Gate, Network
