--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := core policy state kv backends peer entry standins trials cli
+LIBS := core policy state kv backends peer archive serving entry standins trials cli
+DIRS := $(foreach lib,$(LIBS),libs/$(lib)) platform
 STAMP := $(VENV)/installed
 
 .PHONY: demo test faults faults-full fuzz bench slopes binary lock check format proto traces lock clean
@@ -42,10 +43,10 @@
 
 binary: dist/toucanlead
 
-dist/toucanlead: $(STAMP) $(wildcard libs/*/toucanlead*/*.py)
-	rm -rf build/site dist $(foreach lib,$(LIBS),libs/$(lib)/build)
+dist/toucanlead: $(STAMP) $(wildcard libs/*/toucanlead*/*.py platform/toucanlead*/*.py)
+	rm -rf build/site dist $(foreach dir,$(DIRS),$(dir)/build)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements.lock --target build/site
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site $(foreach lib,$(LIBS),./libs/$(lib))
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation --target build/site $(foreach dir,$(DIRS),./$(dir))
 	mkdir -p dist
 	$(BIN)/shiv --site-packages build/site --compressed --entry-point toucanlead.__main__:run --python '/usr/bin/env python3.11' --output-file dist/toucanlead
 
@@ -56,10 +57,10 @@
 proto:
 	tools/generate_proto.sh
 
-$(STAMP): requirements-dev.lock $(wildcard libs/*/pyproject.toml)
+$(STAMP): requirements-dev.lock $(wildcard libs/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check --require-hashes -r requirements-dev.lock
-	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach lib,$(LIBS),-e libs/$(lib))
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(foreach dir,$(DIRS),-e $(dir))
 	touch $(STAMP)
 
 clean:
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,17 @@
+#!/bin/sh
+# Puts the locked libraries and the packages of this workspace under target/deps.
+set -eu
+cd "$(dirname "$0")/.."
+if ! [ target/deps/locked -nt requirements.lock ]; then
+    rm -rf target/deps
+    python3 -m pip install --quiet --disable-pip-version-check --require-hashes \
+        --target target/deps -r requirements.lock
+    touch target/deps/locked
+fi
+for package in libs/*/toucanlead* platform/toucanlead_platform; do
+    case "$package" in *.egg-info) continue ;; esac
+    name=$(basename "$package")
+    rm -rf "target/deps/$name"
+    cp -r "$package" "target/deps/$name"
+done
+python3 -m compileall -q target/deps/toucanlead*
--- /dev/null
+++ b/libs/archive/toucanlead_archive/__init__.py
@@ -0,0 +1,1 @@
+"""Archive of turns: written once under their request's id, on several disks."""
--- /dev/null
+++ b/libs/archive/toucanlead_archive/archive.py
@@ -0,0 +1,91 @@
+"""Archive: stores turns for entries, and answers with chains of them."""
+
+import asyncio
+
+import structlog
+from attrs import frozen
+
+from toucanlead_peer.turns import ArchiveHandler, Chain, Stored, Turn
+
+from .store import DiskFull, TurnStore
+
+log = structlog.get_logger()
+
+CHAIN_LIMIT_BYTES = 4_000_000  # the longest history of the target, 760,000 tokens, in two answers
+
+
+@frozen
+class _Pending:
+    turns: list[Turn]
+    done: asyncio.Future
+
+
+class Archive(ArchiveHandler):
+    """One disk's turns; writes that arrive together share one sync."""
+
+    def __init__(self, store: TurnStore) -> None:
+        """Take the opened store."""
+        self.store = store
+        self.retiring = False
+        self._pending: list[_Pending] = []
+        self._committing: asyncio.Task | None = None
+
+    async def put(self, turn: Turn) -> Stored:
+        """Store a turn; refused when the disk is full or being emptied."""
+        if self.retiring:
+            return Stored(self.store.disk, False)
+        return await self._commit([turn])
+
+    async def copy(self, turns: list[Turn]) -> Stored:
+        """Store copies of turns that other disks hold."""
+        if self.retiring:
+            return Stored(self.store.disk, False)
+        return await self._commit(turns)
+
+    async def fetch(self, ident: str, known: list[str]) -> Chain:
+        """Return the turn and those before it, as far as they are held here."""
+        stop = set(known)
+        turns: list[Turn] = []
+        size = 0
+        while ident and ident not in stop and size < CHAIN_LIMIT_BYTES:
+            turn = self.store.read(ident)
+            if turn is None:
+                break
+            turns.append(turn)
+            size += turn.size
+            ident = turn.previous
+        return Chain(turns)
+
+    async def amend(self, idents: list[str], disks: tuple[str, ...]) -> int:
+        """Note which disks hold copies."""
+        return self.store.amend(idents, disks)
+
+    async def _commit(self, turns: list[Turn]) -> Stored:
+        pending = _Pending(turns, asyncio.get_running_loop().create_future())
+        self._pending.append(pending)
+        if self._committing is None:
+            self._committing = asyncio.ensure_future(self._write_pending())
+        stored = await pending.done
+        return Stored(self.store.disk, stored)
+
+    async def _write_pending(self) -> None:
+        """Write what has gathered, after the requests that are already here."""
+        await asyncio.sleep(0)
+        self._committing = None
+        batch, self._pending = self._pending, []
+        try:
+            self.store.write(turn for pending in batch for turn in pending.turns)
+        except DiskFull as exc:
+            log.warning('archive_full', detail=str(exc))
+            _settle(batch, False)
+        except Exception as exc:  # the writers learn of it, and the sync is not claimed
+            log.error('archive_write_failed', error=repr(exc))
+            _settle(batch, False)
+        else:
+            _settle(batch, True)
+
+
+def _settle(batch: list[_Pending], stored: bool) -> None:
+    for pending in batch:
+        if not pending.done.done():
+            pending.done.set_result(stored)
--- /dev/null
+++ b/libs/archive/toucanlead_archive/store.py
@@ -0,0 +1,176 @@
+"""Turns on one disk, in a SQLite file that survives crashes and power losses."""
+
+import contextlib
+import heapq
+import sqlite3
+import time
+from collections.abc import Callable, Iterable
+from pathlib import Path
+
+import structlog
+from attrs import define, field
+
+from toucanlead_peer.turns import Turn
+
+log = structlog.get_logger()
+
+PAGE_CACHE_KIB = 2048  # turns are read once or twice, soon after they were written
+FILE_NAME = 'turns.db'
+ROW_OVERHEAD_BYTES = 200  # ids, disks and SQLite's own bookkeeping
+
+_SCHEMA = """
+create table if not exists meta (name text primary key, value text not null);
+create table if not exists turns (
+    ident text primary key, previous text not null, input blob not null,
+    output blob not null, keep_s real not null, disks text not null);
+"""
+
+
+class DiskFull(Exception):
+    """The disk's share for turns is used up by turns that must be kept."""
+
+
+@define
+class Held:
+    """What is remembered of a stored turn without reading it; times by the given clock."""
+
+    expires_at: float
+    size: int
+    disks: tuple[str, ...]
+
+
+@define
+class TurnStore:
+    """The turns of one disk.
+
+    Durations are counted by a monotonic clock that does not survive a restart; a
+    turn found at the start is kept for its whole time again.
+    """
+
+    folder: Path
+    limit_bytes: int
+    new_disk_id: Callable[[], str]
+    clock: Callable[[], float] = time.monotonic
+    disk: str = ''
+    fresh: bool = False
+    used_bytes: int = 0
+    held: dict[str, Held] = field(factory=dict)
+    _expiry: list[tuple[float, str]] = field(factory=list)
+    _db: sqlite3.Connection | None = None
+
+    def open(self) -> None:
+        """Open or create the file; one that cannot be read is put aside."""
+        try:
+            self._connect()
+        except sqlite3.DatabaseError as exc:
+            log.error('archive_file_unreadable', error=str(exc))
+            self._put_aside()
+            self._connect()
+        self._load()
+
+    def close(self) -> None:
+        """Close the file."""
+        if self._db is not None:
+            self._db.close()
+
+    def write(self, turns: Iterable[Turn]) -> None:
+        """Store turns in one durable step; a turn that is held keeps its content.
+
+        Raises DiskFull, in which case nothing is stored.
+        """
+        turns = list(turns)
+        self.drop_expired()
+        new_bytes = sum(t.size + ROW_OVERHEAD_BYTES for t in turns if t.ident not in self.held)
+        if self.used_bytes + new_bytes > self.limit_bytes:
+            raise DiskFull(f'{self.used_bytes} of {self.limit_bytes} bytes are in use')
+        rows = [
+            (t.ident, t.previous, t.input, t.output, t.keep_s, ','.join(t.disks)) for t in turns
+        ]
+        with self._db:
+            self._db.executemany(
+                'insert into turns values (?, ?, ?, ?, ?, ?)'
+                ' on conflict (ident) do update set disks = excluded.disks',
+                rows,
+            )
+        for turn in turns:
+            self._note(turn.ident, turn.keep_s, turn.size, turn.disks)
+
+    def amend(self, idents: Iterable[str], disks: tuple[str, ...]) -> int:
+        """Note which disks hold copies of turns; return how many are held here."""
+        known = [ident for ident in idents if ident in self.held]
+        with self._db:
+            self._db.executemany(
+                'update turns set disks = ? where ident = ?',
+                [(','.join(disks), ident) for ident in known],
+            )
+        for ident in known:
+            self.held[ident].disks = disks
+        return len(known)
+
+    def read(self, ident: str) -> Turn | None:
+        """Return a turn with the time that it is still kept, None without it."""
+        held = self.held.get(ident)
+        if held is None or held.expires_at <= self.clock():
+            return None
+        row = self._db.execute(
+            'select previous, input, output from turns where ident = ?', (ident,)
+        ).fetchone()
+        keep_s = held.expires_at - self.clock()
+        return Turn(ident, row[0], row[1], row[2], keep_s, held.disks)
+
+    def drop_expired(self) -> None:
+        """Delete turns whose time is over."""
+        now = self.clock()
+        gone = []
+        while self._expiry and self._expiry[0][0] <= now:
+            _, ident = heapq.heappop(self._expiry)
+            held = self.held.get(ident)
+            if held is not None and held.expires_at <= now:
+                del self.held[ident]
+                self.used_bytes -= held.size
+                gone.append((ident,))
+        if gone:
+            with self._db:
+                self._db.executemany('delete from turns where ident = ?', gone)
+
+    def _connect(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        db = sqlite3.connect(self.folder / FILE_NAME, isolation_level='IMMEDIATE')
+        # Exclusive locking keeps the index of the write-ahead log in memory, not in a mapped file.
+        db.execute('pragma locking_mode = exclusive')
+        db.execute('pragma journal_mode = wal')
+        db.execute('pragma synchronous = full')
+        db.execute(f'pragma cache_size = -{PAGE_CACHE_KIB}')
+        db.executescript(_SCHEMA)
+        row = db.execute("select value from meta where name = 'disk'").fetchone()
+        if row is None:
+            self.disk, self.fresh = self.new_disk_id(), True
+            with db:
+                db.execute("insert into meta values ('disk', ?)", (self.disk,))
+        else:
+            self.disk = row[0]
+        self._db = db
+
+    def _load(self) -> None:
+        rows = self._db.execute(
+            'select ident, keep_s, length(input) + length(output), disks from turns'
+        )
+        for ident, keep_s, size, disks in rows:
+            self._note(ident, keep_s, size, tuple(disks.split(',')) if disks else ())
+
+    def _note(self, ident: str, keep_s: float, size: int, disks: tuple[str, ...]) -> None:
+        held = self.held.get(ident)
+        if held is not None:
+            held.disks = disks
+            return
+        whole = size + ROW_OVERHEAD_BYTES
+        held = Held(self.clock() + keep_s, whole, disks)
+        self.held[ident] = held
+        self.used_bytes += whole
+        heapq.heappush(self._expiry, (held.expires_at, ident))
+
+    def _put_aside(self) -> None:
+        for name in (FILE_NAME, f'{FILE_NAME}-wal', f'{FILE_NAME}-shm'):
+            path = self.folder / name
+            with contextlib.suppress(FileNotFoundError):
+                path.replace(path.with_name(f'{name}.unreadable'))
--- /dev/null
+++ b/libs/archive/toucanlead_archive/upkeep.py
@@ -0,0 +1,203 @@
+"""Upkeep of copies: restores those that were lost, and empties a disk that is to go."""
+
+import asyncio
+from itertools import islice
+
+import structlog
+from attrs import define, evolve, field, frozen
+
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+from toucanlead_core.timers import Timers
+from toucanlead_peer.turns import ArchiveTransport, Turn
+
+from .archive import Archive
+from .directory import ArchiveDirectory, ArchiveRecord, spread_over_zones
+
+log = structlog.get_logger()
+
+BATCH_TURNS = 64
+BATCH_BYTES = 256_000  # 0.14 s of the 15 Mbit/s link between regions
+COPY_TIMEOUT_S = 2.0
+PROBE_TIMEOUT_S = 0.5
+SUSPECT_AFTER_S = 1.0  # unreachable for so long, and another archive has joined since
+GONE_AFTER_S = 8.0  # unreachable for so long, whatever else happens; freezes last some seconds
+HOLDER_DELAY_S = 0.8  # later holders leave the work to earlier ones, and take over after this
+
+
+@frozen
+class _Group:
+    """Turns whose copies are on the same disks."""
+
+    disks: tuple[str, ...]
+    idents: list[str]
+
+
+@define
+class Upkeep:
+    """Keeps `copies` copies of each turn on disks that exist."""
+
+    archive: Archive
+    directory: ArchiveDirectory
+    transport: ArchiveTransport
+    timers: Timers
+    name: str
+    copies: int
+    _unreachable: dict[str, float] = field(factory=dict)
+    _short_since: dict[str, float] = field(factory=dict)
+    _first_seen: dict[str, float] = field(factory=dict)
+
+    async def restore(self) -> int:
+        """Copy turns that have too few copies; return how many were copied."""
+        await self._probe_peers()
+        copied = 0
+        for group in self._groups(self._is_short):
+            copied += await self._copy_group(group, self._living(group.disks))
+        if copied:
+            log.info('copies_restored', turns=copied)
+        return copied
+
+    async def hand_over(self) -> bool:
+        """Copy every turn to other disks; say whether all have enough copies there."""
+        own = self.archive.store.disk
+        for group in self._groups(lambda disks: True):
+            others = tuple(d for d in self._living(group.disks) if d != own)
+            if len(others) < self.copies:
+                await self._copy_group(group, others)
+        self.archive.store.drop_expired()
+        return all(
+            len([d for d in self._living(held.disks) if d != own]) >= self.copies
+            for held in self.archive.store.held.values()
+        )
+
+    def unfinished(self) -> int:
+        """Return how many turns have too few copies as far as is known."""
+        held = self.archive.store.held.values()
+        return sum(len(self._living(one.disks)) < self.copies for one in held)
+
+    def _living(self, disks: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the disks that exist and may come back."""
+        now = self.timers.now()
+        living = []
+        for disk in disks:
+            record = self.directory.by_disk(disk)
+            if record is None:
+                continue
+            if not self._may_be_gone(record.name, now):
+                living.append(disk)
+        return tuple(living)
+
+    def _may_be_gone(self, name: str, now: float) -> bool:
+        """Say whether to replace an archive's copies; a short silence is no reason."""
+        since = self._unreachable.get(name)
+        if since is None:
+            return False
+        successor = any(seen > since for seen in self._first_seen.values())
+        return now - since >= (SUSPECT_AFTER_S if successor else GONE_AFTER_S)
+
+    def _is_short(self, disks: tuple[str, ...]) -> bool:
+        """Say whether it is this archive's turn to copy what these disks hold."""
+        living = self._living(disks)
+        own = self.archive.store.disk
+        if len(living) >= self.copies or own not in living:
+            self._short_since.pop(','.join(disks), None)
+            return False
+        since = self._short_since.setdefault(','.join(disks), self.timers.now())
+        return self.timers.now() - since >= HOLDER_DELAY_S * sorted(living).index(own)
+
+    def _groups(self, wanted) -> list[_Group]:
+        self.archive.store.drop_expired()
+        by_disks: dict[tuple[str, ...], list[str]] = {}
+        for ident, held in self.archive.store.held.items():
+            by_disks.setdefault(held.disks, []).append(ident)
+        return [_Group(disks, idents) for disks, idents in by_disks.items() if wanted(disks)]
+
+    async def _copy_group(self, group: _Group, keepers: tuple[str, ...]) -> int:
+        """Copy a group to as many further disks as are missing."""
+        copied = 0
+        targets = self._targets(keepers)
+        for batch in self._batches(group.idents):
+            reached = list(keepers)
+            for target in targets:
+                if len(reached) >= self.copies:
+                    break
+                disks = (*reached, target.disk)
+                if await self._copy(target, [evolve(turn, disks=disks) for turn in batch]):
+                    reached.append(target.disk)
+            if len(reached) > len(keepers):
+                await self._announce([turn.ident for turn in batch], tuple(reached))
+                copied += len(batch)
+            if len(reached) < self.copies:
+                break
+        return copied
+
+    def _targets(self, keepers: tuple[str, ...]) -> list[ArchiveRecord]:
+        """Return archives that may take copies: other zones than the keepers' first."""
+        own = self.directory.by_disk(self.archive.store.disk)
+        zone, region = (own.zone, own.region) if own else ('', '')
+        zones = {record.zone for disk in keepers if (record := self.directory.by_disk(disk))}
+        candidates = [
+            record
+            for record in self.directory.nearest('', zone, region)
+            if record.disk not in keepers
+            and record.name != self.name
+            and not record.retiring
+            and record.name not in self._unreachable
+        ]
+        fresh = [record for record in candidates if record.zone not in zones]
+        rest = [record for record in candidates if record.zone in zones]
+        return spread_over_zones(fresh, self.copies) + rest
+
+    def _batches(self, idents: list[str]):
+        source = iter(idents)
+        while batch := list(islice(source, BATCH_TURNS)):
+            turns = [turn for ident in batch if (turn := self.archive.store.read(ident))]
+            part: list[Turn] = []
+            size = 0
+            for turn in turns:
+                if part and size + turn.size > BATCH_BYTES:
+                    yield part
+                    part, size = [], 0
+                part.append(turn)
+                size += turn.size
+            if part:
+                yield part
+
+    async def _copy(self, target: ArchiveRecord, turns: list[Turn]) -> bool:
+        try:
+            stored = await self.transport.copy(target.address, turns, COPY_TIMEOUT_S)
+        except (NotSent, OutcomeUnknown) as exc:
+            log.info('copy_failed', archive=target.name, turns=len(turns), error=str(exc))
+            self._unreachable.setdefault(target.name, self.timers.now())
+            return False
+        return stored.stored and stored.disk == target.disk
+
+    async def _announce(self, idents: list[str], disks: tuple[str, ...]) -> None:
+        """Tell every holder, this one too, where the copies now are."""
+        self.archive.store.amend(idents, disks)
+        own = self.archive.store.disk
+        for disk in disks[:-1]:
+            record = self.directory.by_disk(disk)
+            if disk == own or record is None:
+                continue
+            try:
+                await self.transport.amend(record.address, idents, disks, COPY_TIMEOUT_S)
+            except (NotSent, OutcomeUnknown) as exc:
+                log.info('amend_failed', archive=record.name, error=str(exc))
+
+    async def _probe_peers(self) -> None:
+        """Learn which archives can be reached."""
+        peers = [r for r in self.directory.all() if r.name != self.name]
+        await asyncio.gather(*(self._probe(record) for record in peers))
+        now = self.timers.now()
+        names = {record.name for record in peers}
+        self._unreachable = {n: t for n, t in self._unreachable.items() if n in names}
+        disks = {record.disk for record in peers}
+        self._first_seen = {disk: self._first_seen.get(disk, now) for disk in disks}
+
+    async def _probe(self, record: ArchiveRecord) -> None:
+        try:
+            await self.transport.amend(record.address, [], (), PROBE_TIMEOUT_S)
+        except (NotSent, OutcomeUnknown):
+            self._unreachable.setdefault(record.name, self.timers.now())
+        else:
+            self._unreachable.pop(record.name, None)
--- a/libs/cli/toucanlead/commands.py
+++ b/libs/cli/toucanlead/commands.py
@@ -1,34 +1,13 @@
-"""Execution of the commands."""
+"""Execution of the commands that try and measure the product.
+
+Each imports what it needs when it runs, so that other commands start quickly.
+"""
 
 import asyncio
-import random
-import signal
-from pathlib import Path
 
 from attrs import asdict
 
-from toucanlead_entry.daemon import Daemon, run_until
-from toucanlead_entry.settings import load_settings
-from toucanlead_trials.bench import (
-    bench_cells,
-    bench_document,
-    run_ablation,
-    run_bench,
-    verdicts,
-)
-from toucanlead_trials.capacity import fill_tables, slopes_document
-from toucanlead_trials.demo import demo_document, run_demo
-from toucanlead_trials.fault_kinds import FAULTS
-from toucanlead_trials.fault_matrix import (
-    default_cases,
-    full_cases,
-    matrix_document,
-    run_cases,
-    under_served,
-)
-from toucanlead_trials.payload import measure_payload
 from toucanlead_trials.report import table, write_json
-from toucanlead_trials.slopes import measure_all
 
 from .environment import Environment
 from .logs import configure_logs
@@ -44,6 +23,8 @@
 
     def demo(self, programs: int, log_level: str) -> ExitStatus:
         """Run the demo."""
+        from toucanlead_trials.demo import demo_document, run_demo
+
         env = self._env
         configure_logs(env.stderr, log_level)
         rows = asyncio.run(run_demo(env.warn, programs or None))
@@ -77,6 +58,15 @@
 
     def faults(self, seed: int, repeated: int, pairs: int, full: bool) -> ExitStatus:
         """Run the fault matrix."""
+        from toucanlead_trials.fault_kinds import FAULTS
+        from toucanlead_trials.fault_matrix import (
+            default_cases,
+            full_cases,
+            matrix_document,
+            run_cases,
+            under_served,
+        )
+
         env = self._env
         configure_logs(env.stderr, 'critical')
         cases = full_cases(seed) if full else default_cases(seed, repeated, pairs)
@@ -95,6 +85,14 @@
 
     def bench(self, programs: int, seeds: int, ablation: bool) -> ExitStatus:
         """Run the benchmark."""
+        from toucanlead_trials.bench import (
+            bench_cells,
+            bench_document,
+            run_ablation,
+            run_bench,
+            verdicts,
+        )
+
         env = self._env
         chosen = tuple(range(1, seeds + 1))
         rows = run_bench(env.warn, programs, chosen)
@@ -113,6 +111,10 @@
 
     def slopes(self) -> ExitStatus:
         """Measure slopes and work out the capacity page."""
+        from toucanlead_trials.capacity import fill_tables, slopes_document
+        from toucanlead_trials.payload import measure_payload
+        from toucanlead_trials.slopes import measure_all
+
         env = self._env
         configure_logs(env.stderr, 'critical')
         results = measure_all(env.warn)
@@ -129,24 +131,3 @@
             page.write_text(text, encoding='utf-8')
             env.say(f'{page.name}: tables written')
         return ExitStatus.SUCCESS
-
-    def entry(self, config: str, log_level: str) -> ExitStatus:
-        """Run an entry."""
-        settings = load_settings(Path(config))
-        configure_logs(self._env.stderr, log_level)
-        asyncio.run(_serve(Daemon(settings, random.Random())))
-        return ExitStatus.SUCCESS
-
-    def check_config(self, file: str) -> ExitStatus:
-        """Check a settings file."""
-        load_settings(Path(file))
-        self._env.say(f'{file}: ok')
-        return ExitStatus.SUCCESS
-
-
-async def _serve(daemon: Daemon) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await run_until(daemon, stop)
--- a/libs/cli/toucanlead/core.py
+++ b/libs/cli/toucanlead/core.py
@@ -4,7 +4,7 @@
 
 import defopt
 
-from toucanlead_entry.settings import SettingsError
+from toucanlead_core.process_settings import SettingsError
 
 from . import __version__
 from .admin import AdminCommands
@@ -12,6 +12,7 @@
 from .commands import Commands
 from .definition import build
 from .environment import Environment
+from .processes import Processes
 from .status import ExitStatus
 
 
@@ -20,7 +21,7 @@
     if args == ['--version']:
         env.say(f'toucanlead {__version__}')
         return ExitStatus.SUCCESS
-    commands = build(Commands(env), AdminCommands(env))
+    commands = build(Commands(env), Processes(env), AdminCommands(env))
     try:
         with contextlib.redirect_stdout(env.stdout), contextlib.redirect_stderr(env.stderr):
             return defopt.run(commands, argv=args or ['--help'])
--- a/libs/cli/toucanlead/definition.py
+++ b/libs/cli/toucanlead/definition.py
@@ -8,15 +8,17 @@
 
 from .admin import AdminCommands
 from .commands import Commands
+from .processes import Processes
 from .status import ExitStatus
 
+AdapterName = Literal['native', 'platform']
 LogLevel = Literal['debug', 'info', 'warning', 'error']
 PresetAction = Literal['list', 'show', 'put', 'activate', 'diff', 'history']
 ProgramAction = Literal['show', 'end']
 DoubtAction = Literal['list', 'resolve']
 
 
-def build(commands: Commands, admin: AdminCommands) -> dict[str, Callable]:
+def build(commands: Commands, processes: Processes, admin: AdminCommands) -> dict[str, Callable]:
     """Return the commands by name, bound to what executes them."""
 
     def demo(*, programs: int = 0, log_level: LogLevel = 'error') -> ExitStatus:
@@ -47,13 +49,24 @@
         """
         return commands.slopes()
 
-    def entry(*, config: str, log_level: LogLevel = 'info') -> ExitStatus:
+    def entry(
+        *, config: str, adapter: AdapterName = 'native', log_level: LogLevel = 'info'
+    ) -> ExitStatus:
         """Run an entry until SIGTERM, then finish everything in progress and stop.
 
         :param config: settings file (TOML), see docs/settings.md
-        :param log_level: lowest level of events shown on standard error
+        :param adapter: native for the product's own interface, platform for the customers'
+        :param log_level: lowest level of events shown on standard output
+        """
+        return processes.entry(config, adapter, log_level)
+
+    def archive(*, config: str, log_level: LogLevel = 'info') -> ExitStatus:
+        """Run an archive of turns on a VM with a disk, until SIGTERM.
+
+        :param config: settings file (TOML), see docs/settings.md
+        :param log_level: lowest level of events shown on standard output
         """
-        return commands.entry(config, log_level)
+        return processes.archive(config, log_level)
 
     def status() -> ExitStatus:
         """Show an entry: slots, programs, load, preset in force, age of its knowledge.
@@ -118,12 +131,13 @@
         """
         return admin.doubt(action, program, seq, ran, content)
 
-    def check_config(file: str) -> ExitStatus:
+    def check_config(file: str, *, adapter: AdapterName = 'native') -> ExitStatus:
         """Check a settings file and name every error in it.
 
         :param file: settings file (TOML)
+        :param adapter: the adapter for which the file is meant
         """
-        return commands.check_config(file)
+        return processes.check_config(file, adapter)
 
     def faults(
         *, seed: int = 1, repeated: int = 50, pairs: int = 50, full: bool = False
@@ -151,5 +165,6 @@
         'faults': faults,
         'demo': demo,
         'entry': entry,
+        'archive': archive,
         'check-config': check_config,
     }
--- /dev/null
+++ b/libs/cli/toucanlead/processes.py
@@ -0,0 +1,86 @@
+"""Execution of the commands that run processes of the system.
+
+Each imports what it needs when it runs, so that a process holds no more than it uses.
+"""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from toucanlead_core.process_settings import ProcessSettings, load_process_settings
+
+from .environment import Environment
+from .logs import configure_logs
+from .status import ExitStatus
+
+NATIVE, PLATFORM = 'native', 'platform'
+
+Run = Callable[[asyncio.Event], Awaitable[None]]
+
+
+class Processes:
+    """What each command does, in one environment."""
+
+    def __init__(self, env: Environment) -> None:
+        """Take all outside state."""
+        self._env = env
+
+    def entry(self, config: str, adapter: str, log_level: str) -> ExitStatus:
+        """Run an entry."""
+        if adapter == NATIVE:
+            return self._native_entry(config, log_level)
+        from toucanlead_serving.entry_process import run_entry
+
+        settings = load_process_settings(Path(config))
+        return self._run(
+            lambda stop: run_entry(settings, _adapter(settings), random.Random(), stop), log_level
+        )
+
+    def archive(self, config: str, log_level: str) -> ExitStatus:
+        """Run an archive."""
+        from toucanlead_serving.archive_process import run_archive
+
+        settings = load_process_settings(Path(config))
+        return self._run(
+            lambda stop: run_archive(settings, _adapter(settings), random.Random(), stop),
+            log_level,
+        )
+
+    def check_config(self, file: str, adapter: str) -> ExitStatus:
+        """Check a settings file."""
+        if adapter == NATIVE:
+            from toucanlead_entry.settings import load_settings
+
+            load_settings(Path(file))
+        else:
+            load_process_settings(Path(file))
+        self._env.say(f'{file}: ok')
+        return ExitStatus.SUCCESS
+
+    def _native_entry(self, config: str, log_level: str) -> ExitStatus:
+        from toucanlead_entry.daemon import Daemon, run_until
+        from toucanlead_entry.settings import load_settings
+
+        settings = load_settings(Path(config))
+        return self._run(lambda stop: run_until(Daemon(settings, random.Random()), stop), log_level)
+
+    def _run(self, run: Run, log_level: str) -> ExitStatus:
+        configure_logs(self._env.stdout, log_level)
+        asyncio.run(_until_signal(run))
+        return ExitStatus.SUCCESS
+
+
+def _adapter(settings: ProcessSettings):
+    from toucanlead_platform.adapter import PlatformAdapter
+
+    return PlatformAdapter(settings.service.address)
+
+
+async def _until_signal(run: Run) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await run(stop)
--- a/libs/core/toucanlead_core/errors.py
+++ b/libs/core/toucanlead_core/errors.py
@@ -57,6 +57,12 @@
     OWNERSHIP_LOST = 'ownership_lost'
     NOT_OWNER = 'not_owner'
     OWNER_UNREACHABLE = 'owner_unreachable'
+    NO_ROUTE = 'no_route'
+    NOT_CONFIGURED = 'not_configured'
+    UNKNOWN_TURN = 'unknown_turn'
+    HISTORY_UNAVAILABLE = 'history_unavailable'
+    BUDGET_UNAVAILABLE = 'budget_unavailable'
+    REPLICAS_FULL = 'replicas_full'
     STOPPING = 'stopping'
     CONFLICT = 'conflict'
     INTERNAL = 'internal'
@@ -74,6 +80,7 @@
     ANSWER_LOST = 'answer_lost'
     PLATFORM_DOWN = 'platform_down'
     RELEASE_FAILED = 'release_failed'
+    WRONG_REPLICA = 'wrong_replica'
 
 
 class Refusal(Exception):
--- /dev/null
+++ b/libs/core/toucanlead_core/tasks.py
@@ -0,0 +1,36 @@
+"""Background work of a process: started, watched, cancelled together."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import structlog
+
+log = structlog.get_logger()
+
+
+class TaskSet:
+    """Background tasks of one process, which end with it."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._tasks: set[asyncio.Task] = set()
+
+    def spawn(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task:
+        """Run work in the background; an error is logged."""
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    async def cancel(self) -> None:
+        """Cancel everything and wait for it."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error('task_failed', task=task.get_name(), error=repr(task.exception()))
--- a/libs/entry/toucanlead_entry/context.py
+++ b/libs/entry/toucanlead_entry/context.py
@@ -1,10 +1,7 @@
 """Context: everything outside that the parts of one entry share."""
 
 import abc
-import asyncio
 import random
-from collections.abc import Coroutine
-from typing import Any
 
 import structlog
 from attrs import define, field
@@ -13,6 +10,7 @@
 from toucanlead_backends.tool import ToolService
 from toucanlead_core.errors import Step
 from toucanlead_core.ids import random_id
+from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import Timers
 from toucanlead_kv.kv import KeyValueStore
 from toucanlead_kv.settle import SettledWriter
@@ -95,33 +93,6 @@
     rescan_s: float = 10.0
 
 
-class TaskSet:
-    """Background tasks of one entry, which end with it."""
-
-    def __init__(self) -> None:
-        """Start empty."""
-        self._tasks: set[asyncio.Task] = set()
-
-    def spawn(self, work: Coroutine[Any, Any, Any], name: str) -> asyncio.Task:
-        """Run work in the background; an error is logged."""
-        task = asyncio.get_running_loop().create_task(work, name=name)
-        self._tasks.add(task)
-        task.add_done_callback(self._ended)
-        return task
-
-    async def cancel(self) -> None:
-        """Cancel everything and wait for it."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    def _ended(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error('task_failed', task=task.get_name(), error=repr(task.exception()))
-
-
 @define
 class Context:
     """Dependencies, passed in so that tests can replace each."""
--- a/libs/entry/toucanlead_entry/settings.py
+++ b/libs/entry/toucanlead_entry/settings.py
@@ -1,26 +1,16 @@
 """Settings of an entry, read from TOML; every error at once, each by name."""
 
-import tomllib
 from pathlib import Path
 
 from attrs import field, frozen
 
-from toucanlead_core.codec import structure
+from toucanlead_core.process_settings import SettingsError, read_settings
+from toucanlead_core.process_settings import parse_settings as parse_toml
 from toucanlead_policy.preset import Preset
 
 MAX_SLOTS = 65_536
 
 
-class SettingsError(Exception):
-    """All errors found in one settings file."""
-
-    def __init__(self, source: str, errors: list[str]) -> None:
-        """Keep the file's name and each error's text."""
-        super().__init__('\n'.join(f'{source}: {error}' for error in errors))
-        self.source = source
-        self.errors = errors
-
-
 @frozen
 class EntrySection:
     """Where this entry runs; host is an IP number, port 0 takes a free one."""
@@ -116,39 +106,18 @@
 
 def load_settings(path: Path) -> Settings:
     """Read a settings file; raise SettingsError naming every error."""
-    try:
-        text = path.read_text(encoding='utf-8')
-    except OSError as exc:
-        raise SettingsError(str(path), [exc.strerror or str(exc)]) from None
-    return parse_settings(text, str(path))
+    return parse_settings(read_settings(path), str(path))
 
 
 def parse_settings(text: str, source: str) -> Settings:
     """Parse settings; raise SettingsError naming every error."""
-    try:
-        raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
-        raise SettingsError(source, [f'not TOML: {exc}']) from None
-    try:
-        settings = structure(raw, Settings)
-    except ValueError as exc:
-        raise SettingsError(source, _readable(str(exc))) from None
+    settings = parse_toml(text, source, Settings)
     errors = _cross_errors(settings)
     if errors:
         raise SettingsError(source, errors)
     return settings
 
 
-def _readable(text: str) -> list[str]:
-    """Name each wrong value by its key, as in `entry.port`."""
-    errors = []
-    for part in text.split('; '):
-        what, _, where = part.rpartition(' @ ')
-        key = where.removeprefix('$').removeprefix('.')
-        errors.append(f'{key or "top level"}: {what or part}')
-    return errors
-
-
 def _cross_errors(settings: Settings) -> list[str]:
     errors = []
     if not 1 <= settings.entry.slots <= MAX_SLOTS:
--- a/libs/kv/toucanlead_kv/kv.py
+++ b/libs/kv/toucanlead_kv/kv.py
@@ -5,6 +5,10 @@
 
 from attrs import define, field, frozen
 
+from toucanlead_core.errors import PeerError
+
+WATCH_WAIT_S = 30.0  # the longest that the platform's service lets a watch wait
+
 
 @frozen
 class KvEntry:
@@ -42,10 +46,15 @@
 
 @frozen
 class TxnResult:
-    """Whether all conditions held, and the service's revision."""
+    """Whether all conditions held, and the service's revision.
+
+    After a failure, `current` holds the entries that the conditions named, as far
+    as the service returns them.
+    """
 
     succeeded: bool
     revision: int
+    current: list[KvEntry] = field(factory=list)
 
 
 @frozen
@@ -57,6 +66,30 @@
     mod_rev: int
 
 
+@frozen
+class Snapshot:
+    """Entries under a prefix, and the revision from which to follow their changes."""
+
+    entries: list[KvEntry]
+    revision: int
+
+
+@frozen
+class Changes:
+    """Changes after a revision, and the revision from which to go on."""
+
+    events: list[WatchEvent]
+    revision: int
+
+
+class HistoryLost(PeerError):
+    """The service no longer has the changes after a revision; read a snapshot."""
+
+
+class LeaseLost(PeerError):
+    """The lease that an operation names has ended; nothing was done."""
+
+
 @define
 class KvCounters:
     """Calls to the service, as it counts them."""
@@ -102,3 +135,35 @@
     @abc.abstractmethod
     def watch(self, prefix: str, from_rev: int) -> AsyncIterator[WatchEvent]:
         """Yield changes under a prefix from a revision on."""
+
+
+class PollingStore(KeyValueStore):
+    """A service whose changes are asked for, each time after a known revision."""
+
+    @abc.abstractmethod
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return all entries under a prefix; changes may overlap the entries."""
+
+    @abc.abstractmethod
+    async def poll(self, prefix: str, after_rev: int, wait_s: float) -> Changes:
+        """Return changes after a revision, waiting for the first one.
+
+        Returns no events when the wait is over. Raises HistoryLost.
+        """
+
+    @abc.abstractmethod
+    async def probe(self, key: str) -> None:
+        """Make the cheapest read there is, to learn whether the service answers."""
+
+    async def scan(self, prefix: str) -> list[KvEntry]:
+        """Return all entries under a prefix, in key order."""
+        return (await self.snapshot(prefix)).entries
+
+    async def watch(self, prefix: str, from_rev: int) -> AsyncIterator[WatchEvent]:
+        """Yield changes under a prefix from a revision on."""
+        after_rev = from_rev - 1
+        while True:
+            changes = await self.poll(prefix, after_rev, WATCH_WAIT_S)
+            after_rev = changes.revision
+            for event in changes.events:
+                yield event
--- /dev/null
+++ b/libs/peer/toucanlead_peer/channels.py
@@ -0,0 +1,100 @@
+"""Channels to peers over grpclib: one for each address, replaced when it fails."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from grpclib.protocol import H2Protocol
+
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+from toucanlead_core.sockets import guard_against_silence, split_address
+
+T = TypeVar('T')
+
+CONNECT_TIMEOUT_S = 0.4  # ten round trips between regions
+UNACKED_S = 1.5  # sent bytes that nobody acknowledges end a channel
+DETACHED_CLOSE_S = 3.0  # calls on a channel that timed out once may still end well
+KEEPALIVE_S = 10.0
+KEEPALIVE_TIMEOUT_S = 3.0
+RPC_ERRORS = (GRPCError, StreamTerminatedError, ConnectionError, OSError, asyncio.TimeoutError)
+
+
+class Channels:
+    """Open channels by host:port."""
+
+    def __init__(self, resolve: Callable[[str], str] = str) -> None:
+        """Take a mapping of addresses, for networks that translate them."""
+        self._resolve = resolve
+        self._channels: dict[str, Channel] = {}
+        self._guarded: dict[str, H2Protocol] = {}
+        self._config = Configuration(
+            _keepalive_time=KEEPALIVE_S, _keepalive_timeout=KEEPALIVE_TIMEOUT_S
+        )
+
+    async def open(self, address: str, timeout_s: float = CONNECT_TIMEOUT_S) -> Channel:
+        """Return a connected channel; NotSent when the peer cannot be reached."""
+        channel = self._channels.get(address)
+        if channel is None:
+            try:
+                host, port = split_address(self._resolve(address))
+            except ValueError as exc:
+                raise NotSent(str(exc), step='connect', peer=address) from exc
+            channel = Channel(host, port, config=self._config)
+            self._channels[address] = channel
+        try:
+            protocol = await asyncio.wait_for(channel.__connect__(), timeout_s)
+        except (OSError, asyncio.TimeoutError) as exc:
+            self.drop(address, channel)
+            raise NotSent(repr(exc), step='connect', peer=address) from exc
+        self._guard(address, protocol)
+        return channel
+
+    async def call(
+        self,
+        address: str,
+        step: str,
+        work: Callable[[Channel], Awaitable[T]],
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> T:
+        """Make one call; OutcomeUnknown when it fails after it was sent."""
+        channel = await self.open(address, connect_timeout_s)
+        try:
+            return await work(channel)
+        except asyncio.TimeoutError as exc:
+            self._detach(address, channel)
+            raise OutcomeUnknown('no answer in time', step=step, peer=address) from exc
+        except RPC_ERRORS as exc:
+            self.drop(address, channel)
+            raise OutcomeUnknown(repr(exc), step=step, peer=address) from exc
+
+    def drop(self, address: str, failed: Channel | None = None) -> None:
+        """Close a channel that failed, so that the next call opens another."""
+        channel = self._channels.get(address)
+        if channel is not None and failed in (None, channel):
+            del self._channels[address]
+            self._guarded.pop(address, None)
+            channel.close()
+
+    def close(self) -> None:
+        """Close all channels."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    def _detach(self, address: str, channel: Channel) -> None:
+        """Open another channel for the next call; calls in progress go on."""
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+            self._guarded.pop(address, None)
+            asyncio.get_running_loop().call_later(DETACHED_CLOSE_S, channel.close)
+
+    def _guard(self, address: str, protocol: H2Protocol) -> None:
+        if self._guarded.get(address) is protocol:
+            return
+        self._guarded[address] = protocol
+        sock = protocol.connection._transport.get_extra_info('socket')
+        if sock is not None:
+            guard_against_silence(sock, UNACKED_S)
--- a/libs/peer/toucanlead_peer/grpc_transport.py
+++ b/libs/peer/toucanlead_peer/grpc_transport.py
@@ -1,15 +1,11 @@
 """Peer transport over grpclib: one channel per peer, replaced when it fails."""
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
 
 from grpclib.client import Channel
-from grpclib.config import Configuration
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Server, Stream
 
 from toucanlead_core.errors import (
-    NotSent,
     OutcomeUnknown,
     Ran,
     Reason,
@@ -19,6 +15,7 @@
 from toucanlead_core.messages import Chunk
 
 from . import peer_grpc, peer_pb2
+from .channels import RPC_ERRORS, Channels
 from .messages import (
     ForwardReq,
     Frame,
@@ -35,10 +32,6 @@
 CONNECT_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
 TAIL_TIMEOUT_S = 2.0
-KEEPALIVE_S = 10.0
-KEEPALIVE_TIMEOUT_S = 3.0
-
-_ERRORS = (GRPCError, StreamTerminatedError, ConnectionError, OSError, asyncio.TimeoutError)
 
 
 class GrpcTransport(PeerTransport):
@@ -46,11 +39,7 @@
 
     def __init__(self, resolve: Callable[[str], str] = str) -> None:
         """Take a mapping of addresses, for networks that translate them."""
-        self._resolve = resolve
-        self._channels: dict[str, Channel] = {}
-        self._config = Configuration(
-            _keepalive_time=KEEPALIVE_S, _keepalive_timeout=KEEPALIVE_TIMEOUT_S
-        )
+        self._channels = Channels(resolve)
 
     async def forward(self, address: str, req: ForwardReq) -> AsyncIterator[Frame]:
         """Stream the owner's frames."""
@@ -68,8 +57,8 @@
                 await stream.send_message(message, end=True)
                 async for frame in stream:
                     yield _frame_from(frame)
-        except _ERRORS as exc:
-            self._drop(address)
+        except RPC_ERRORS as exc:
+            self._channels.drop(address)
             raise OutcomeUnknown(repr(exc), step='forward', peer=address) from exc
 
     async def probe(self, address: str, req: ProbeReq) -> ProbeReply:
@@ -78,8 +67,8 @@
         message = _probe_to(req)
         try:
             return _probe_from(await stub.Probe(message, timeout=PROBE_TIMEOUT_S), ProbeReply)
-        except _ERRORS as exc:
-            self._drop(address)
+        except RPC_ERRORS as exc:
+            self._channels.drop(address)
             raise OutcomeUnknown(repr(exc), step='probe', peer=address) from exc
 
     async def keep_tail(self, address: str, piece: TailPiece) -> None:
@@ -94,35 +83,18 @@
 
     def close(self) -> None:
         """Close all channels."""
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        self._channels.close()
 
     async def _send_tail(self, address: str, method, piece: TailPiece) -> None:
         message = peer_pb2.TailPiece(holder=piece.holder, index=piece.index, segment=piece.segment)
         try:
             await method(message, timeout=TAIL_TIMEOUT_S)
-        except _ERRORS as exc:
-            self._drop(address)
+        except RPC_ERRORS as exc:
+            self._channels.drop(address)
             raise OutcomeUnknown(repr(exc), step='tail', peer=address) from exc
 
     async def _connected(self, address: str) -> Channel:
-        channel = self._channels.get(address)
-        if channel is None:
-            host, _, port = self._resolve(address).rpartition(':')
-            channel = Channel(host, int(port), config=self._config)
-            self._channels[address] = channel
-        try:
-            await asyncio.wait_for(channel.__connect__(), CONNECT_TIMEOUT_S)
-        except (OSError, asyncio.TimeoutError) as exc:
-            self._drop(address)
-            raise NotSent(repr(exc), step='connect', peer=address) from exc
-        return channel
-
-    def _drop(self, address: str) -> None:
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+        return await self._channels.open(address, CONNECT_TIMEOUT_S)
 
 
 class _Servicer(peer_grpc.PeerBase):
--- /dev/null
+++ b/libs/peer/toucanlead_peer/serving_transport.py
@@ -0,0 +1,232 @@
+"""Archive, escrow and relay calls over grpclib, both sides."""
+
+from google.protobuf.message import DecodeError
+from grpclib.client import Channel
+from grpclib.server import Server, Stream
+
+from . import serving_grpc, serving_pb2
+from .channels import Channels
+from .turns import (
+    ArchiveHandler,
+    ArchiveTransport,
+    Chain,
+    EscrowHandler,
+    EscrowTransport,
+    Loan,
+    RelayedCall,
+    RelayedReply,
+    RelayHandler,
+    RelayTransport,
+    Stored,
+    Turn,
+)
+
+
+class GrpcArchives(ArchiveTransport):
+    """Calls to archives."""
+
+    def __init__(self, channels: Channels) -> None:
+        """Take the channels that all calls to peers share."""
+        self._channels = channels
+
+    async def put(self, address: str, turn: Turn, timeout_s: float) -> Stored:
+        """Store a turn."""
+        message = serving_pb2.PutRequest(turn=_turn_to(turn))
+
+        async def work(channel: Channel) -> Stored:
+            reply = await serving_grpc.ArchiveStub(channel).Put(message, timeout=timeout_s)
+            return Stored(reply.disk, reply.stored)
+
+        return await self._channels.call(address, 'archive put', work, timeout_s)
+
+    async def fetch(self, address: str, ident: str, known: list[str], timeout_s: float) -> Chain:
+        """Return a chain."""
+        message = serving_pb2.FetchRequest(id=ident, known=known)
+
+        async def work(channel: Channel) -> Chain:
+            reply = await serving_grpc.ArchiveStub(channel).Fetch(message, timeout=timeout_s)
+            return Chain([_turn_from(turn) for turn in reply.turns])
+
+        return await self._channels.call(address, 'archive fetch', work, timeout_s)
+
+    async def copy(self, address: str, turns: list[Turn], timeout_s: float) -> Stored:
+        """Store copies."""
+        message = serving_pb2.CopyRequest(turns=[_turn_to(turn) for turn in turns])
+
+        async def work(channel: Channel) -> Stored:
+            reply = await serving_grpc.ArchiveStub(channel).Copy(message, timeout=timeout_s)
+            return Stored(reply.disk, reply.stored)
+
+        return await self._channels.call(address, 'archive copy', work, timeout_s)
+
+    async def amend(
+        self, address: str, idents: list[str], disks: tuple[str, ...], timeout_s: float
+    ) -> int:
+        """Name the disks that hold copies."""
+        message = serving_pb2.AmendRequest(ids=idents, disks=disks)
+
+        async def work(channel: Channel) -> int:
+            reply = await serving_grpc.ArchiveStub(channel).Amend(message, timeout=timeout_s)
+            return reply.amended
+
+        return await self._channels.call(address, 'archive amend', work, timeout_s)
+
+
+class GrpcEscrow(EscrowTransport):
+    """Calls to the entry that holds a grant."""
+
+    def __init__(self, channels: Channels) -> None:
+        """Take the channels that all calls to peers share."""
+        self._channels = channels
+
+    async def borrow(self, address: str, program: str, tokens: int, timeout_s: float) -> Loan:
+        """Ask for tokens."""
+        message = serving_pb2.BorrowRequest(program=program, tokens=tokens)
+
+        async def work(channel: Channel) -> Loan:
+            reply = await serving_grpc.EscrowStub(channel).Borrow(message, timeout=timeout_s)
+            return Loan(reply.outcome, reply.tokens)
+
+        return await self._channels.call(address, 'borrow', work, timeout_s)
+
+    async def repay(
+        self, address: str, program: str, unused: int, used: int, timeout_s: float
+    ) -> None:
+        """Settle what was borrowed."""
+        message = serving_pb2.RepayRequest(program=program, unused=unused, used=used)
+
+        async def work(channel: Channel) -> None:
+            await serving_grpc.EscrowStub(channel).Repay(message, timeout=timeout_s)
+
+        await self._channels.call(address, 'repay', work, timeout_s)
+
+
+class GrpcRelay(RelayTransport):
+    """Calls to the key-value service through a peer."""
+
+    ALLOWANCE_S = 0.2  # for the way to the peer, beyond the call's own time
+
+    def __init__(self, channels: Channels) -> None:
+        """Take the channels that all calls to peers share."""
+        self._channels = channels
+
+    async def call(self, address: str, call: RelayedCall) -> RelayedReply:
+        """Let a peer make a call."""
+        message = serving_pb2.RelayRequest(
+            method=call.method,
+            target=call.target,
+            body=call.body,
+            timeout_ms=int(1e3 * call.timeout_s),
+        )
+
+        async def work(channel: Channel) -> RelayedReply:
+            stub = serving_grpc.StoreRelayStub(channel)
+            reply = await stub.Call(message, timeout=call.timeout_s + self.ALLOWANCE_S)
+            return RelayedReply(reply.status, reply.body)
+
+        return await self._channels.call(address, 'relay', work)
+
+
+class _Archive(serving_grpc.ArchiveBase):
+    def __init__(self, handler: ArchiveHandler) -> None:
+        self._handler = handler
+
+    async def Put(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        stored = await self._handler.put(_turn_from(message.turn))
+        await stream.send_message(serving_pb2.PutReply(stored=stored.stored, disk=stored.disk))
+
+    async def Fetch(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        chain = await self._handler.fetch(message.id, list(message.known))
+        turns = [_turn_to(turn) for turn in chain.turns]
+        await stream.send_message(serving_pb2.FetchReply(turns=turns))
+
+    async def Copy(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        stored = await self._handler.copy([_turn_from(turn) for turn in message.turns])
+        await stream.send_message(serving_pb2.CopyReply(stored=stored.stored, disk=stored.disk))
+
+    async def Amend(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        amended = await self._handler.amend(list(message.ids), tuple(message.disks))
+        await stream.send_message(serving_pb2.AmendReply(amended=amended))
+
+
+class _Escrow(serving_grpc.EscrowBase):
+    def __init__(self, handler: EscrowHandler) -> None:
+        self._handler = handler
+
+    async def Borrow(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        loan = await self._handler.borrow(message.program, message.tokens)
+        reply = serving_pb2.BorrowReply(outcome=loan.outcome, tokens=loan.tokens)
+        await stream.send_message(reply)
+
+    async def Repay(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        await self._handler.repay(message.program, message.unused, message.used)
+        await stream.send_message(serving_pb2.RepayReply())
+
+
+class _Relay(serving_grpc.StoreRelayBase):
+    def __init__(self, handler: RelayHandler) -> None:
+        self._handler = handler
+
+    async def Call(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        reply = await self._handler.call(
+            RelayedCall(message.method, message.target, message.body, message.timeout_ms / 1e3)
+        )
+        await stream.send_message(serving_pb2.RelayReply(status=reply.status, body=reply.body))
+
+
+def serving_server(
+    archive: ArchiveHandler | None = None,
+    escrow: EscrowHandler | None = None,
+    relay: RelayHandler | None = None,
+) -> Server:
+    """Return a grpclib server for the handlers that are there; the caller starts it."""
+    parts = []
+    if archive is not None:
+        parts.append(_Archive(archive))
+    if escrow is not None:
+        parts.append(_Escrow(escrow))
+    if relay is not None:
+        parts.append(_Relay(relay))
+    return Server(parts)
+
+
+def turn_to_bytes(turn: Turn) -> bytes:
+    """Return a turn as bytes, for a store of values."""
+    return _turn_to(turn).SerializeToString()
+
+
+def turn_from_bytes(data: bytes) -> Turn:
+    """Return a turn from its bytes; ValueError when they are no turn."""
+    try:
+        return _turn_from(serving_pb2.TurnRecord.FromString(data))
+    except DecodeError as exc:
+        raise ValueError(f'not a turn: {exc}') from exc
+
+
+def _turn_to(turn: Turn) -> serving_pb2.TurnRecord:
+    return serving_pb2.TurnRecord(
+        id=turn.ident,
+        previous=turn.previous,
+        input=turn.input,
+        output=turn.output,
+        keep_ms=int(1e3 * turn.keep_s),
+        disks=turn.disks,
+    )
+
+
+def _turn_from(message: serving_pb2.TurnRecord) -> Turn:
+    return Turn(
+        message.id,
+        message.previous,
+        message.input,
+        message.output,
+        message.keep_ms / 1e3,
+        tuple(message.disks),
+    )
--- /dev/null
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -0,0 +1,190 @@
+"""Archive process on a platform: a disk's turns, its copies, and its retirement."""
+
+import asyncio
+import random
+from pathlib import Path
+
+import structlog
+from attrs import evolve
+
+from toucanlead_archive.archive import Archive
+from toucanlead_archive.directory import ARCHIVE_PREFIX, ArchiveDirectory, ArchiveRecord
+from toucanlead_archive.store import TurnStore
+from toucanlead_archive.upkeep import Upkeep
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+from toucanlead_core.ids import random_id
+from toucanlead_core.process_settings import ProcessSettings
+from toucanlead_core.sockets import split_address
+from toucanlead_core.tasks import TaskSet
+from toucanlead_core.timers import LoopTimers
+from toucanlead_kv.follow import ChangeSink, Follower, StoreWatchdog
+from toucanlead_kv.kv import Compare, Delete, KvEntry, Put, WatchEvent
+from toucanlead_peer.channels import Channels
+from toucanlead_peer.serving_transport import GrpcArchives, GrpcRelay, serving_server
+
+from .adapter import Adapter, RetirementKeys
+
+log = structlog.get_logger()
+
+RESTORE_PERIOD_S = 0.7  # a lost copy is to be replaced within the platform's catch-up time
+RETIRE_RETRY_S = 0.3
+REGISTER_RETRY_S = 0.3
+MEGABYTE = 1_000_000
+TURN_SHARE = 0.6  # of the disk; the rest is for the write-ahead log and freed pages
+
+
+class RetirementOrder(ChangeSink):
+    """Whether the operator wants this disk emptied."""
+
+    def __init__(self, key: str) -> None:
+        """Take the key of the order."""
+        self._key = key
+        self.wanted = asyncio.Event()
+
+    def replace(self, entries: list[KvEntry]) -> None:
+        """Take what stands there."""
+        if any(entry.key == self._key for entry in entries):
+            self.wanted.set()
+
+    def apply(self, events: list[WatchEvent]) -> None:
+        """Take changes."""
+        if any(e.key == self._key and e.value is not None for e in events):
+            self.wanted.set()
+
+
+class ArchiveProcess:
+    """One archive on a VM with a disk."""
+
+    def __init__(self, settings: ProcessSettings, adapter: Adapter, rng: random.Random) -> None:
+        """Wire the parts; needs a running loop."""
+        self.settings = settings
+        self._adapter = adapter
+        self._rng = rng
+        self._timers = LoopTimers(rng)
+        self._channels = Channels()
+        self._turns = TurnStore(
+            Path(settings.archive.folder),
+            int(settings.archive.disk_mb * TURN_SHARE * MEGABYTE),
+            lambda: random_id(random.SystemRandom()),
+        )
+        self.archive = Archive(self._turns)
+        self.directory = ArchiveDirectory()
+        self._store = adapter.store(settings, self._timers, GrpcRelay(self._channels))
+        self.upkeep = Upkeep(
+            self.archive,
+            self.directory,
+            GrpcArchives(self._channels),
+            self._timers,
+            settings.process.name,
+            settings.tolerance.vms + 1,
+        )
+        self._keys: RetirementKeys = adapter.retirement(settings.process.name)
+        self._order = RetirementOrder(self._keys.order)
+        self._server = serving_server(archive=self.archive, relay=adapter.relay())
+        self._tasks = TaskSet()
+
+    async def start(self) -> None:
+        """Open the disk and the sockets, and register."""
+        self._turns.open()
+        host, port = split_address(self.settings.listen.peers)
+        await self._server.start(host, port)
+        followers = [
+            Follower(self._store, self._timers, self._rng, ARCHIVE_PREFIX, self.directory),
+            Follower(self._store, self._timers, self._rng, self._keys.order, self._order),
+        ]
+        watchdog = StoreWatchdog(self._store, self._timers, ARCHIVE_PREFIX)
+        for follower in followers:
+            watchdog.watch_over(follower)
+            self._tasks.spawn(follower.run(), 'follow')
+        self._tasks.spawn(watchdog.run(), 'watchdog')
+        self._tasks.spawn(self._keep_copies(followers[0]), 'copies')
+        self._tasks.spawn(self._retire_when_asked(), 'retire')
+        log.info(
+            'archive_started',
+            name=self.settings.process.name,
+            disk=self._turns.disk,
+            fresh=self._turns.fresh,
+            turns=len(self._turns.held),
+        )
+
+    async def stop(self) -> None:
+        """Finish writes in progress and close; the disk keeps what it holds."""
+        log.info('archive_stopping', turns=len(self._turns.held))
+        self._server.close()
+        await self._server.wait_closed()
+        await self._tasks.cancel()
+        self._turns.close()
+        self._channels.close()
+        await self._adapter.close()
+        log.info('archive_stopped', name=self.settings.process.name)
+
+    def _record(self) -> ArchiveRecord:
+        place = self.settings.process
+        return ArchiveRecord(
+            place.name, self._turns.disk, self.settings.listen.peers, place.zone, place.region
+        )
+
+    async def _keep_copies(self, follower: Follower) -> None:
+        """Register, then restore copies that were lost, again and again."""
+        await follower.synced.wait()
+        while True:
+            if not self._order.wanted.is_set():
+                await self._register()
+                await self.upkeep.restore()
+            await self._timers.sleep(RESTORE_PERIOD_S)
+
+    async def _register(self) -> None:
+        """Write this archive's record unless it stands as it should."""
+        record = self._record()
+        if self.directory.records.get(record.key) != record:
+            await self._write(record)
+
+    async def _write(self, record: ArchiveRecord) -> None:
+        revision = self.directory.revisions.get(record.key, 0)
+        try:
+            result = await self._store.txn(
+                [Compare(record.key, revision)], [Put(record.key, record.value())]
+            )
+        except (NotSent, OutcomeUnknown) as exc:
+            log.info('register_failed', error=str(exc))
+            return
+        if result.succeeded:
+            self.directory.apply([WatchEvent(record.key, record.value(), result.revision)])
+            log.info('archive_registered', disk=record.disk, retiring=record.retiring)
+        else:
+            self.directory.apply([WatchEvent(e.key, e.value, e.mod_rev) for e in result.current])
+
+    async def _retire_when_asked(self) -> None:
+        """Empty the disk on the operator's order, and report when that is done."""
+        await self._order.wanted.wait()
+        log.info('retirement_begun', turns=len(self._turns.held))
+        self.archive.retiring = True
+        leaving = evolve(self._record(), retiring=True)
+        await self._report(self._keys.running, [])
+        while True:
+            if self.directory.records.get(leaving.key) != leaving:
+                await self._write(leaving)
+            if await self.upkeep.hand_over():
+                break
+            await self._timers.sleep(RETIRE_RETRY_S)
+        await self._report(self._keys.done, [Delete(leaving.key)])
+        log.info('retirement_done')
+
+    async def _report(self, document: bytes, also: list[Delete]) -> None:
+        while True:
+            try:
+                await self._store.txn([], [Put(self._keys.report, document), *also])
+                return
+            except (NotSent, OutcomeUnknown) as exc:
+                log.info('report_failed', error=str(exc))
+                await self._timers.sleep(RETIRE_RETRY_S)
+
+
+async def run_archive(
+    settings: ProcessSettings, adapter: Adapter, rng: random.Random, stop: asyncio.Event
+) -> None:
+    """Run an archive until told to stop."""
+    process = ArchiveProcess(settings, adapter, rng)
+    await process.start()
+    await stop.wait()
+    await process.stop()
--- /dev/null
+++ b/libs/serving/toucanlead_serving/dispatch.py
@@ -0,0 +1,106 @@
+"""Dispatch: knows the replicas, places requests, and learns from what becomes of them."""
+
+from collections.abc import Set
+from contextlib import asynccontextmanager
+
+import structlog
+
+from toucanlead_core.errors import NotSent, OutcomeUnknown
+from toucanlead_core.timers import Timers
+from toucanlead_policy.placement import Candidate, Placement, PlacementReq
+from toucanlead_policy.prefixes import PrefixBeliefs
+
+from .registry import Registry, Replica
+from .replica_client import NotExecuted, ReplicaClient
+from .request import CallerReq, ReplicaCall
+
+log = structlog.get_logger()
+
+
+class Dispatch:
+    """The replicas as this entry uses them."""
+
+    def __init__(
+        self,
+        registry: Registry,
+        client: ReplicaClient,
+        placement: Placement,
+        beliefs: PrefixBeliefs,
+        timers: Timers,
+        zone: str,
+        region: str,
+    ) -> None:
+        """Take the parts, and where this entry runs."""
+        self.registry = registry
+        self.client = client
+        self.placement = placement
+        self._beliefs = beliefs
+        self._timers = timers
+        self._zone = zone
+        self._region = region
+
+    def place(
+        self, service: str, req: CallerReq, avoid: Set[str], only: Set[str] | None
+    ) -> Replica | None:
+        """Return the replica to use, out of `only` if given; None when there is none."""
+        now = self._timers.now()
+        usable = {
+            replica.ident: replica
+            for replica in self.registry.usable(service, now)
+            if only is None or replica.ident in only
+        }
+        candidates = [_candidate(replica, now) for replica in usable.values()]
+        generation = req.generation
+        cached, prompt_tokens = {}, 0
+        if generation is not None:
+            parts = [(part.ident, part.tokens) for part in generation.parts]
+            prompt_tokens = generation.prompt_tokens
+            cached = {name: self._beliefs.cached(name, parts) for name in usable}
+        wanted = PlacementReq(self._zone, self._region, prompt_tokens)
+        choice = self.placement.choose(wanted, candidates, cached, now, frozenset(avoid))
+        return usable[choice.name] if choice is not None else None
+
+    @asynccontextmanager
+    async def sending(self, replica: Replica, call: ReplicaCall):
+        """Enter with a replica's answer, counted as outstanding until the end."""
+        name = replica.ident
+        load = self.placement.load(name)
+        load.outstanding += 1
+        try:
+            async with self.client.send(replica, call) as answer:
+                yield answer
+            self.placement.worked(name)
+        except NotExecuted as exc:
+            if exc.wrong_replica:
+                replica.replaced = True
+            else:
+                self.placement.full(name, self._timers.now())
+            raise
+        except (NotSent, OutcomeUnknown):
+            self.placement.failed(name, self._timers.now())
+            raise
+        finally:
+            load.outstanding -= 1
+
+    def generated(self, replica: Replica, req: CallerReq, tokens: int) -> None:
+        """Note that a replica has read a prompt and generated tokens."""
+        if req.generation is not None:
+            parts = [(part.ident, part.tokens) for part in req.generation.parts]
+            self._beliefs.read(replica.ident, parts, tokens)
+
+    def forget_gone(self) -> None:
+        """Drop what is known of replicas that no longer exist."""
+        names = set(self.registry.replicas)
+        self.placement.keep_only(names)
+        self._beliefs.keep_only(names)
+
+
+def _candidate(replica: Replica, now: float) -> Candidate:
+    record = replica.record
+    return Candidate(
+        record.ident,
+        record.zone,
+        replica.region,
+        record.slots,
+        cold=now - replica.seen_at < record.cold_s,
+    )
--- /dev/null
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -0,0 +1,154 @@
+"""Entry process on a platform: its parts wired together, and its safe stop."""
+
+import asyncio
+import random
+
+import structlog
+
+from toucanlead_archive.directory import ARCHIVE_PREFIX, ArchiveDirectory
+from toucanlead_core.ids import random_id
+from toucanlead_core.process_settings import ProcessSettings
+from toucanlead_core.sockets import split_address
+from toucanlead_core.tasks import TaskSet
+from toucanlead_core.timers import LoopTimers
+from toucanlead_kv.follow import Follower, StoreWatchdog
+from toucanlead_peer.channels import Channels
+from toucanlead_peer.serving_transport import (
+    GrpcArchives,
+    GrpcEscrow,
+    GrpcRelay,
+    serving_server,
+)
+from toucanlead_policy.placement import Placement
+from toucanlead_policy.prefixes import PrefixBeliefs
+
+from .adapter import Adapter, Followed
+from .budgets import Budgets
+from .dispatch import Dispatch
+from .forwarder import Forwarder
+from .metrics import ServingMetrics
+from .registry import Registry
+from .routes import CurrentRoutes
+from .turns import Turns
+
+log = structlog.get_logger()
+
+UPKEEP_S = 5.0
+LEAVE_S = 2.6  # the platform asks once a second and takes an entry out after two misses
+STOP_MARGIN_S = 0.6  # before the end of the grace, for the last answers to get out
+IDLE_CHECK_S = 0.02
+
+
+class EntryProcess:
+    """One entry on a VM; `start`, and `stop` when the operator asks for it."""
+
+    def __init__(self, settings: ProcessSettings, adapter: Adapter, rng: random.Random) -> None:
+        """Wire the parts; needs a running loop."""
+        place = settings.process
+        self.settings = settings
+        self._adapter = adapter
+        self._timers = LoopTimers(rng)
+        self._channels = Channels()
+        self.metrics = ServingMetrics()
+        self.routes = CurrentRoutes()
+        self.registry = Registry(settings.zones)
+        self.directory = ArchiveDirectory()
+        self._store = adapter.store(settings, self._timers, GrpcRelay(self._channels))
+        self.budgets = Budgets(
+            self._store,
+            GrpcEscrow(self._channels),
+            self._timers,
+            settings.listen.peers,
+            lambda: random_id(rng),
+        )
+        self.turns = Turns(
+            self.directory,
+            GrpcArchives(self._channels),
+            self._store,
+            self._timers,
+            place.zone,
+            place.region,
+            settings.tolerance.vms + 1,
+        )
+        self._client = adapter.replicas(self._timers, place.region)
+        self.dispatch = Dispatch(
+            self.registry,
+            self._client,
+            Placement(rng),
+            PrefixBeliefs(),
+            self._timers,
+            place.zone,
+            place.region,
+        )
+        self.forwarder = Forwarder(
+            self.routes, self.dispatch, self.turns, self.budgets, self._timers, self.metrics
+        )
+        self._door = adapter.door(settings, self.forwarder, self._timers, self.is_ready)
+        self._peer_server = serving_server(escrow=self.budgets, relay=adapter.relay())
+        self._watchdog = StoreWatchdog(self._store, self._timers, ARCHIVE_PREFIX)
+        followed = [
+            *adapter.followed(self.routes, self.registry, self._timers.now),
+            Followed(ARCHIVE_PREFIX, self.directory),
+        ]
+        self._followers = [
+            Follower(self._store, self._timers, rng, one.prefix, one.sink) for one in followed
+        ]
+        self._tasks = TaskSet()
+        self._stopping = False
+
+    def is_ready(self) -> bool:
+        """Say whether new callers should come here."""
+        return not self._stopping and self.routes.table is not None and self._knows_replicas()
+
+    async def start(self) -> None:
+        """Open the sockets and begin to follow the key-value service."""
+        host, port = split_address(self.settings.listen.peers)
+        await self._peer_server.start(host, port)
+        for follower in self._followers:
+            self._watchdog.watch_over(follower)
+            self._tasks.spawn(follower.run(), 'follow')
+        self._tasks.spawn(self._watchdog.run(), 'watchdog')
+        self._tasks.spawn(self._upkeep(), 'upkeep')
+        await self._door.start()
+        log.info('entry_started', name=self.settings.process.name)
+
+    async def stop(self) -> None:
+        """Let callers go elsewhere, finish what is in progress, give budgets back."""
+        end_at = self._timers.now() + self.settings.times.grace_s - STOP_MARGIN_S
+        self._stopping = True
+        log.info('entry_stopping', in_progress=self.forwarder.in_progress)
+        self._door.leave()
+        await self._timers.sleep(LEAVE_S)
+        await self._door.close_idle()
+        while self.forwarder.in_progress and self._timers.now() < end_at:
+            await self._timers.sleep(IDLE_CHECK_S)
+        if self.forwarder.in_progress:
+            log.warning('stop_cuts_off', requests=self.forwarder.in_progress)
+        await self.budgets.give_back_all()
+        await self._door.stop()
+        self._peer_server.close()
+        await self._tasks.cancel()
+        self._client.close()
+        self._channels.close()
+        await self._adapter.close()
+        log.info('entry_stopped', name=self.settings.process.name)
+
+    def _knows_replicas(self) -> bool:
+        return bool(self.registry.replicas)
+
+    async def _upkeep(self) -> None:
+        while True:
+            await self._timers.sleep(UPKEEP_S)
+            self.dispatch.forget_gone()
+            self._client.keep_only(list(self.registry.replicas.values()))
+            self.budgets.forget_idle()
+
+
+async def run_entry(
+    settings: ProcessSettings, adapter: Adapter, rng: random.Random, stop: asyncio.Event
+) -> None:
+    """Run an entry until told to stop."""
+    process = EntryProcess(settings, adapter, rng)
+    await process.start()
+    await stop.wait()
+    await process.stop()
--- /dev/null
+++ b/libs/serving/toucanlead_serving/events.py
@@ -0,0 +1,52 @@
+"""Server-sent events of a stream, forwarded as they are and looked into."""
+
+from attrs import define, frozen
+
+_ENDS = (b'\n\n', b'\r\n\r\n', b'\r\r')
+
+
+@frozen
+class StreamEvent:
+    """One whole event: its bytes as they arrived, its id and its data."""
+
+    raw: bytes
+    ident: str
+    data: bytes
+
+
+@define
+class EventSplitter:
+    """Cuts a stream into whole events; the rest stays until more arrives."""
+
+    rest: bytes = b''
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that are now complete."""
+        buffer = self.rest + data
+        events = []
+        while True:
+            end = _event_end(buffer)
+            if end is None:
+                break
+            events.append(_parse(buffer[:end]))
+            buffer = buffer[end:]
+        self.rest = buffer
+        return events
+
+
+def _event_end(buffer: bytes) -> int | None:
+    ends = [at + len(mark) for mark in _ENDS if (at := buffer.find(mark)) >= 0]
+    return min(ends) if ends else None
+
+
+def _parse(raw: bytes) -> StreamEvent:
+    ident = ''
+    data = []
+    for line in raw.splitlines():
+        name, _, value = line.partition(b':')
+        value = value.removeprefix(b' ')
+        if name == b'id':
+            ident = value.decode('utf-8', 'replace')
+        elif name == b'data':
+            data.append(value)
+    return StreamEvent(raw, ident, b'\n'.join(data))
--- /dev/null
+++ b/libs/serving/toucanlead_serving/metrics.py
@@ -0,0 +1,58 @@
+"""Metrics of the serving path: every refusal and retry reason with a counter."""
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from toucanlead_core.errors import Reason, RetryReason
+
+LATENCY_BUCKETS_S = (0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0)
+
+
+class ServingMetrics:
+    """Counters in a registry of their own, so that entries can share a process."""
+
+    def __init__(self) -> None:
+        """Create all counters, with every reason at zero."""
+        self.registry = CollectorRegistry()
+        self._answers = Counter(
+            'toucanlead_answers', 'Whole answers', ['kind'], registry=self.registry
+        )
+        self._refusals = Counter(
+            'toucanlead_serving_refusals', 'Refusals', ['reason'], registry=self.registry
+        )
+        self._retries = Counter(
+            'toucanlead_serving_retries', 'Retries', ['reason'], registry=self.registry
+        )
+        self._latency = Histogram(
+            'toucanlead_answer_seconds',
+            'Time to the whole answer',
+            ['kind'],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        for reason in Reason:
+            self._refusals.labels(reason.value)
+        for retry in RetryReason:
+            self._retries.labels(retry.value)
+
+    def answered(self, kind: str, seconds: float) -> None:
+        """Count a whole answer and the seconds that it took."""
+        self._answers.labels(kind).inc()
+        self._latency.labels(kind).observe(seconds)
+
+    def refused(self, reason: Reason) -> None:
+        """Count a refusal."""
+        self._refusals.labels(reason.value).inc()
+
+    def retried(self, reason: RetryReason) -> None:
+        """Count a retry."""
+        self._retries.labels(reason.value).inc()
+
+    def gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Serve a value that is read when the metrics are asked for."""
+        Gauge(name, text, registry=self.registry).set_function(read)
+
+    def text(self) -> bytes:
+        """Return the Prometheus text."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/libs/serving/toucanlead_serving/registry.py
@@ -0,0 +1,121 @@
+"""Registry of replicas: which exist, and which may receive new work."""
+
+from attrs import define, field, frozen
+
+VANISHED_GRACE_S = 2.0  # entries that lapsed with the key-value service are back within this
+
+
+@frozen
+class ReplicaRecord:
+    """What a replica says of itself; `started_ms` tells its runs apart."""
+
+    ident: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool = False
+    cold_s: float = 0.0
+    started_ms: int = 0
+    version: str = ''
+
+
+@define
+class Replica:
+    """One run of a replica, as this process sees it."""
+
+    record: ReplicaRecord
+    region: str
+    seen_at: float
+    leaving_since: float | None = None
+    vanished_at: float | None = None
+    replaced: bool = False
+
+    @property
+    def ident(self) -> str:
+        """Return the replica's id."""
+        return self.record.ident
+
+    @property
+    def zone(self) -> str:
+        """Return the replica's zone."""
+        return self.record.zone
+
+    @property
+    def leaving(self) -> bool:
+        """Say whether the replica takes no new work, or another has its address."""
+        return self.leaving_since is not None or self.replaced
+
+
+@define
+class Registry:
+    """All known replicas by service, kept by changes from the key-value service."""
+
+    regions: dict[str, str]
+    replicas: dict[str, Replica] = field(factory=dict)
+    changed_at: float = 0.0
+
+    def put(self, record: ReplicaRecord, now: float) -> None:
+        """Take a new or changed entry."""
+        known = self.replicas.get(record.ident)
+        self.changed_at = now
+        if known is None or not _same_run(known.record, record):
+            region = self.regions.get(record.zone, record.zone)
+            known = Replica(record, region, now)
+            self.replicas[record.ident] = known
+        known.record = record
+        known.vanished_at = None
+        if not record.leaving:
+            known.leaving_since = None
+        elif known.leaving_since is None:
+            known.leaving_since = now
+
+    def remove(self, ident: str, now: float) -> None:
+        """Take note that an entry is gone."""
+        known = self.replicas.get(ident)
+        if known is not None and known.vanished_at is None:
+            known.vanished_at = now
+            self.changed_at = now
+
+    def replace(self, records: list[ReplicaRecord], now: float) -> None:
+        """Take a whole snapshot; what it lacks is gone."""
+        present = {record.ident for record in records}
+        for ident in list(self.replicas):
+            if ident not in present:
+                self.remove(ident, now)
+        for record in records:
+            self.put(record, now)
+
+    def usable(self, service: str, now: float) -> list[Replica]:
+        """Return the replicas of a service that may receive new work.
+
+        Replicas whose entries have just vanished are returned only when no other
+        is left: entries also lapse while the key-value service is away.
+        """
+        self._forget(now)
+        of_service = [r for r in self.replicas.values() if r.record.service == service]
+        ready = [r for r in of_service if r.vanished_at is None and not r.leaving]
+        if ready:
+            return ready
+        return [r for r in of_service if r.vanished_at is not None and not r.leaving]
+
+    def services(self) -> set[str]:
+        """Return the services that have replicas."""
+        return {replica.record.service for replica in self.replicas.values()}
+
+    def _forget(self, now: float) -> None:
+        gone = [
+            ident
+            for ident, replica in self.replicas.items()
+            if replica.vanished_at is not None and now - replica.vanished_at > VANISHED_GRACE_S
+        ]
+        for ident in gone:
+            del self.replicas[ident]
+
+
+def _same_run(old: ReplicaRecord, new: ReplicaRecord) -> bool:
+    return (
+        old.started_ms == new.started_ms
+        and old.address == new.address
+        and old.service == new.service
+    )
--- /dev/null
+++ b/libs/serving/toucanlead_serving/routes.py
@@ -0,0 +1,137 @@
+"""Route table: which service a request goes to, and what may be done with it."""
+
+from enum import Enum
+
+from attrs import field, frozen
+
+from toucanlead_core.ids import slot_of_key
+
+SPLIT_STEPS = 10_000  # resolution of a split between services
+
+
+class RouteKind(str, Enum):
+    """What may be repeated."""
+
+    SAFE = 'safe'
+    UNSAFE = 'unsafe'
+    STREAM = 'stream'
+
+
+@frozen
+class Target:
+    """A service and its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@frozen
+class Route:
+    """One route; times in seconds, priority 0 is the most urgent."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    targets: tuple[Target, ...]
+    timeout_s: float
+    target_latency_s: float
+    max_attempts: int = 1
+    priority: int = 5
+    keeps_history: bool = False
+    retention_s: float = 0.0
+    resumable: bool = False
+    max_gap_s: float | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Say whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE or (self.kind is RouteKind.STREAM and self.resumable)
+
+    def service_for(self, key: str) -> str:
+        """Return the service for a key; equal keys get the same one."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        total = sum(target.weight for target in self.targets)
+        point = slot_of_key(key, SPLIT_STEPS) / SPLIT_STEPS * total
+        for target in self.targets:
+            point -= target.weight
+            if point < 0:
+                return target.service
+        return self.targets[-1].service
+
+
+@frozen
+class EngineTraits:
+    """What model engines of a service share."""
+
+    slots: int
+    cache_tokens: int
+    tokens_per_event: int = 1
+    token_bytes: int = 0
+
+
+@frozen
+class Service:
+    """One service: model engines, or an application."""
+
+    name: str
+    health_path: str
+    connection_limit: int
+    engine: EngineTraits | None = None
+
+
+@frozen
+class CallerLimits:
+    """Bounds on what a caller may send, in bytes and seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@frozen
+class RouteTable:
+    """One version of the configuration, replaced whole."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits = field(factory=CallerLimits)
+    _by_host: dict[str, tuple[Route, ...]] = field(init=False, repr=False, eq=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Order each host's routes by the length of their prefixes."""
+        hosts: dict[str, list[Route]] = {}
+        for route in self.routes:
+            hosts.setdefault(route.host, []).append(route)
+        ordered = {
+            host: tuple(sorted(routes, key=lambda r: -len(r.path_prefix)))
+            for host, routes in hosts.items()
+        }
+        object.__setattr__(self, '_by_host', ordered)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, None without one."""
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+class CurrentRoutes:
+    """The table in force; an older version never replaces a newer one."""
+
+    def __init__(self) -> None:
+        """Begin without a table."""
+        self.table: RouteTable | None = None
+        self.since = 0.0
+
+    def offer(self, table: RouteTable, now: float) -> bool:
+        """Put a table in force if it is newer; say whether it is."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        self.since = now
+        return True
--- /dev/null
+++ b/libs/serving/toucanlead_serving/turns.py
@@ -0,0 +1,217 @@
+"""Turns: finds the history that a turn continues from, and keeps finished turns."""
+
+import asyncio
+from collections import OrderedDict
+
+import structlog
+from attrs import define, evolve, field
+
+from toucanlead_archive.directory import ArchiveDirectory, ArchiveRecord, spread_over_zones
+from toucanlead_core.errors import NotSent, OutcomeUnknown, Reason, Refusal, Step
+from toucanlead_core.timers import Timers
+from toucanlead_kv.kv import Compare, KeyValueStore, Put
+from toucanlead_peer.serving_transport import turn_from_bytes, turn_to_bytes
+from toucanlead_peer.turns import ArchiveTransport, Turn
+
+log = structlog.get_logger()
+
+FALLBACK_PREFIX = 'toucanlead/turns/'
+MEMORY_BYTES = 6_000_000  # about a thousand turns of five kilobytes
+PUT_TIMEOUT_S = 0.3  # a round trip between regions, a sync, and one retransmission
+FETCH_TIMEOUT_S = 0.3
+AVOID_S = 2.0  # an archive that failed is asked last for so long
+HISTORY_RETRY_AFTER_MS = 300
+
+
+@define
+class TurnMemory:
+    """The turns that passed through this entry most recently."""
+
+    limit_bytes: int = MEMORY_BYTES
+    size: int = 0
+    _turns: OrderedDict[str, Turn] = field(factory=OrderedDict)
+
+    def get(self, ident: str) -> Turn | None:
+        """Return a turn, and remember it for longer."""
+        turn = self._turns.get(ident)
+        if turn is not None:
+            self._turns.move_to_end(ident)
+        return turn
+
+    def put(self, turn: Turn) -> None:
+        """Remember a turn, forgetting others as needed."""
+        if turn.ident in self._turns:
+            return
+        self._turns[turn.ident] = turn
+        self.size += turn.size
+        while self.size > self.limit_bytes and len(self._turns) > 1:
+            _, old = self._turns.popitem(last=False)
+            self.size -= old.size
+
+
+class Turns:
+    """All that an entry does with turns.
+
+    A turn is written once, under the id of its request, and never changes, so its
+    copies need no agreement. It is durable on `copies` disks, or in the key-value
+    service when too few disks answer.
+    """
+
+    def __init__(
+        self,
+        directory: ArchiveDirectory,
+        archives: ArchiveTransport,
+        store: KeyValueStore,
+        timers: Timers,
+        zone: str,
+        region: str,
+        copies: int,
+    ) -> None:
+        """Take the archives, the service, and where this entry runs."""
+        self._directory = directory
+        self._archives = archives
+        self._store = store
+        self._timers = timers
+        self._zone = zone
+        self._region = region
+        self._copies = copies
+        self._failed_at: dict[str, float] = {}
+        self.memory = TurnMemory()
+
+    async def history(self, previous: str, program: str, deadline_at: float) -> bytes:
+        """Return inputs and outputs of a chain, oldest first.
+
+        Raises a Refusal: UNKNOWN_TURN when no such turn exists, HISTORY_UNAVAILABLE
+        when that is not certain.
+        """
+        chain: list[Turn] = []
+        ident = previous
+        while ident:
+            turn = self.memory.get(ident)
+            if turn is None:
+                async with asyncio.timeout_at(deadline_at):
+                    turn = await self._find(ident, program)
+            chain.append(turn)
+            ident = turn.previous
+        return b''.join(part for turn in reversed(chain) for part in (turn.input, turn.output))
+
+    async def keep(self, turn: Turn, program: str) -> None:
+        """Make a turn durable; OutcomeUnknown when that could not be done."""
+        disks = await self._put_on_disks(turn, program)
+        if len(disks) < self._copies:
+            log.warning('turn_kept_in_service', turn=turn.ident, copies=len(disks))
+            await self._put_in_service(turn)
+        self.memory.put(turn)
+
+    async def _put_on_disks(self, turn: Turn, program: str) -> list[str]:
+        """Write copies, in parallel, to as many archives as needed; return their disks."""
+        waiting = self._writers(program)
+        chosen, waiting = waiting[: self._copies], waiting[self._copies :]
+        planned = tuple(archive.disk for archive in chosen)
+        results = await asyncio.gather(*(self._put(a, turn, planned) for a in chosen))
+        disks = [archive.disk for archive, stored in zip(chosen, results) if stored]
+        if len(disks) == len(chosen) == self._copies:
+            return disks
+        while waiting and len(disks) < self._copies:
+            archive = waiting.pop(0)
+            if await self._put(archive, turn, (*disks, archive.disk)):
+                disks.append(archive.disk)
+        await self._announce(turn, disks)
+        return disks
+
+    async def _put(self, archive: ArchiveRecord, turn: Turn, disks: tuple[str, ...]) -> bool:
+        try:
+            stored = await self._archives.put(
+                archive.address, evolve(turn, disks=disks), PUT_TIMEOUT_S
+            )
+        except (NotSent, OutcomeUnknown) as exc:
+            self._failed(archive, exc)
+            return False
+        return stored.stored and stored.disk == archive.disk
+
+    async def _announce(self, turn: Turn, disks: list[str]) -> None:
+        """Tell the holders where the copies really are; one that does not hear is no holder."""
+        final = tuple(disks)
+        for disk in final:
+            archive = self._directory.by_disk(disk)
+            try:
+                if archive is None:
+                    raise NotSent('archive has left', step='archive amend', peer=disk)
+                await self._archives.amend(archive.address, [turn.ident], final, PUT_TIMEOUT_S)
+            except (NotSent, OutcomeUnknown) as exc:
+                log.info('holder_not_told', disk=disk, error=str(exc))
+                disks.remove(disk)
+
+    async def _put_in_service(self, turn: Turn) -> None:
+        key = FALLBACK_PREFIX + turn.ident
+        result = await self._store.txn([Compare(key, 0)], [Put(key, turn_to_bytes(turn))])
+        if not result.succeeded and not any(e.key == key for e in result.current):
+            raise OutcomeUnknown('turn not stored', step='keep', peer='key-value service')
+
+    async def _find(self, ident: str, program: str) -> Turn:
+        """Ask the archives, then the service; Refusal when the turn is not found."""
+        unanswered = False
+        for archive in self._readers(program):
+            try:
+                chain = await self._archives.fetch(archive.address, ident, [], FETCH_TIMEOUT_S)
+            except (NotSent, OutcomeUnknown) as exc:
+                self._failed(archive, exc)
+                unanswered = True
+                continue
+            for turn in chain.turns:
+                self.memory.put(turn)
+            if chain.turns:
+                return chain.turns[0]
+        turn = await self._find_in_service(ident)
+        if turn is not None:
+            return turn
+        if unanswered or not self._directory.records:
+            raise _uncertain(f'{ident}: not every archive answered')
+        raise Refusal(Reason.UNKNOWN_TURN, ident, step=Step.ORDER)
+
+    async def _find_in_service(self, ident: str) -> Turn | None:
+        try:
+            entry = await self._store.get(FALLBACK_PREFIX + ident)
+        except (NotSent, OutcomeUnknown) as exc:
+            raise _uncertain(f'{ident}: {exc}') from exc
+        if entry is None:
+            return None
+        try:
+            turn = turn_from_bytes(entry.value)
+        except ValueError as exc:
+            raise _uncertain(f'{ident}: {exc}') from exc
+        self.memory.put(turn)
+        return turn
+
+    def _writers(self, program: str) -> list[ArchiveRecord]:
+        archives = [a for a in self._ordered(program) if not a.retiring]
+        return spread_over_zones(archives, self._copies)
+
+    def _readers(self, program: str) -> list[ArchiveRecord]:
+        """Return the likely holders first, those in this zone before others."""
+        archives = spread_over_zones(self._ordered(program), self._copies)
+        likely, rest = archives[: self._copies], archives[self._copies :]
+        return sorted(likely, key=lambda a: a.zone != self._zone) + rest
+
+    def _ordered(self, program: str) -> list[ArchiveRecord]:
+        """Order archives by region and program; those that just failed go last."""
+        archives = self._directory.nearest(program, '', self._region)
+        now = self._timers.now()
+
+        def failed(archive: ArchiveRecord) -> bool:
+            return now - self._failed_at.get(archive.disk, -AVOID_S) < AVOID_S
+
+        return sorted(archives, key=failed)
+
+    def _failed(self, archive: ArchiveRecord, exc: Exception) -> None:
+        self._failed_at[archive.disk] = self._timers.now()
+        log.info('archive_failed', archive=archive.name, error=str(exc))
+
+
+def _uncertain(detail: str) -> Refusal:
+    return Refusal(
+        Reason.HISTORY_UNAVAILABLE,
+        detail,
+        step=Step.ORDER,
+        retry_after_ms=HISTORY_RETRY_AFTER_MS,
+    )
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -159,7 +159,7 @@
                 'entry',
                 '--config',
                 str(config),
-                stderr=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
             )
             try:
                 port = await asyncio.wait_for(_port_of(process), 15)
@@ -177,7 +177,7 @@
 
 
 async def _port_of(process):
-    async for line in process.stderr:
+    async for line in process.stdout:
         if b'event=entry_started' in line:
             return line.decode().split(' port=')[1].split()[0]
     raise AssertionError('the entry did not start')
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -12,6 +12,9 @@
     'kv': {'core'},
     'backends': {'core'},
     'peer': {'core'},
+    'archive': {'core', 'kv', 'peer'},
+    'serving': {'core', 'policy', 'kv', 'backends', 'peer', 'archive'},
+    'platform': {'core', 'kv', 'backends', 'peer', 'serving'},
     'entry': {'core', 'policy', 'state', 'kv', 'backends', 'peer'},
     'standins': {'core', 'kv', 'backends', 'peer', 'state'},
     'trials': {
@@ -24,7 +27,7 @@
         'entry',
         'standins',
     },
-    'cli': {'core', 'entry', 'trials'},
+    'cli': {'core', 'entry', 'serving', 'platform', 'trials'},
 }
 
 
@@ -36,9 +39,14 @@
     return 1 if errors else 0
 
 
+def _folder(library: str) -> Path:
+    """Return a library's folder; the adapter to the customers' platform has its own."""
+    return LIBRARIES.parent / library if library == 'platform' else LIBRARIES / library
+
+
 def _errors(library: str) -> list[str]:
     errors = []
-    for path in sorted((LIBRARIES / library).glob('toucanlead*/**/*.py')):
+    for path in sorted(_folder(library).glob('toucanlead*/**/*.py')):
         for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
             for name in _imported(node):
                 errors.extend(_judge(library, path, node.lineno, name))
--- a/tools/generate_proto.sh
+++ b/tools/generate_proto.sh
@@ -2,5 +2,7 @@
 # Generates the committed peer messages; needs grpcio-tools and grpclib.
 set -eu
 cd "$(dirname "$0")/../libs/peer/toucanlead_peer"
-python -m grpc_tools.protoc -I . --python_out=. --grpclib_python_out=. peer.proto
-sed -i 's/^import peer_pb2$/from . import peer_pb2/' peer_grpc.py
+for name in peer serving; do
+    python -m grpc_tools.protoc -I . --python_out=. --grpclib_python_out=. "$name.proto"
+    sed -i "s/^import ${name}_pb2\$/from . import ${name}_pb2/" "${name}_grpc.py"
+done
