Log lines for decisions, settings reloaded, SIGHUP no longer ends a process

Change: one line for each request, turn, grant; a bounded writer that never blocks; settings read again on SIGHUP and every 2 s.

--- a/libs/archive/toucanlead_archive/archive.py
+++ b/libs/archive/toucanlead_archive/archive.py
@@ -82,6 +82,8 @@
             log.error('archive_write_failed', error=repr(exc))
             _settle(batch, False)
         else:
+            for turn in (turn for pending in batch for turn in pending.turns):
+                log.info('turn_stored', turn=turn.ident, disks=','.join(turn.disks))
             _settle(batch, True)
 
 
--- a/libs/cli/toucanlead/logs.py
+++ b/libs/cli/toucanlead/logs.py
@@ -1,10 +1,19 @@
-"""Logging: one line of key=value pairs for each event."""
+"""Logging: one line of key=value pairs for each event; a stalled reader never blocks it."""
 
+import asyncio
 import logging
+import os
+import select
+from collections import deque
 from typing import TextIO
 
 import structlog
 
+BUFFER_BYTES = 262_144  # two seconds of a busy entry's lines
+WRITE_BYTES = 4096  # what a pipe that is ready takes without blocking (PIPE_BUF)
+RETRY_S = 0.05
+LAST_FLUSH_S = 0.2
+
 
 def configure_logs(stream: TextIO, level: str = 'warning') -> None:
     """Send events at or above a level to a stream."""
@@ -21,3 +30,89 @@
         logger_factory=structlog.PrintLoggerFactory(stream),
         cache_logger_on_first_use=False,
     )
+
+
+class LogWriter:
+    """Writes lines to a descriptor as its reader takes them.
+
+    Lines wait in a bounded buffer; those for which there is no room are dropped,
+    and their number is logged once there is room again.
+    """
+
+    def __init__(self, fd: int) -> None:
+        """Take the descriptor, which stays as it is."""
+        self._fd = fd
+        self._poll = select.poll()
+        self._poll.register(fd, select.POLLOUT)
+        self._lines: deque[bytes] = deque()
+        self._size = 0
+        self._scheduled = False
+        self.dropped = 0
+
+    def write(self, text: str) -> int:
+        """Take text; it is written after the work that is going on."""
+        data = text.encode('utf-8', 'replace')
+        if self._size + len(data) > BUFFER_BYTES:
+            self.dropped += 1
+        else:
+            self._lines.append(data)
+            self._size += len(data)
+        self._schedule(0.0)
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: lines are written when the loop has time."""
+
+    def write_out(self) -> None:
+        """Write as much as the reader takes now."""
+        self._scheduled = False
+        while self._lines:
+            if not self._poll.poll(0):
+                self._schedule(RETRY_S)
+                return
+            chunk = self._next_chunk()
+            try:
+                written = os.write(self._fd, chunk)
+            except OSError:  # nobody reads any more
+                self._lines.clear()
+                self._size = 0
+                return
+            self._size -= written
+            if written < len(chunk):
+                self._lines.appendleft(chunk[written:])
+        if self.dropped:
+            count, self.dropped = self.dropped, 0
+            self.write(f'level=warning event=log_lines_dropped count={count}\n')
+
+    def close(self) -> None:
+        """Write the last lines, waiting for the reader a little."""
+        if self._poll.poll(1e3 * LAST_FLUSH_S):
+            self.write_out()
+
+    def _next_chunk(self) -> bytes:
+        """Take lines off the buffer, up to what one write may carry."""
+        chunk = self._lines.popleft()
+        if len(chunk) > WRITE_BYTES:
+            self._lines.appendleft(chunk[WRITE_BYTES:])
+            return chunk[:WRITE_BYTES]
+        parts = [chunk]
+        size = len(chunk)
+        while self._lines and size + len(self._lines[0]) <= WRITE_BYTES:
+            part = self._lines.popleft()
+            parts.append(part)
+            size += len(part)
+        return b''.join(parts)
+
+    def _schedule(self, delay_s: float) -> None:
+        if self._scheduled:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            self.write_out()
+            return
+        self._scheduled = True
+        if delay_s:
+            loop.call_later(delay_s, self.write_out)
+        else:
+            loop.call_soon(self.write_out)
--- a/libs/cli/toucanlead/processes.py
+++ b/libs/cli/toucanlead/processes.py
@@ -9,10 +9,14 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from toucanlead_core.process_settings import ProcessSettings, load_process_settings
+from toucanlead_core.process_settings import (
+    ProcessSettings,
+    SettingsFile,
+    load_process_settings,
+)
 
 from .environment import Environment
-from .logs import configure_logs
+from .logs import LogWriter, configure_logs
 from .status import ExitStatus
 
 NATIVE, PLATFORM = 'native', 'platform'
@@ -33,18 +37,19 @@
             return self._native_entry(config, log_level)
         from toucanlead_serving.entry_process import run_entry
 
-        settings = load_process_settings(Path(config))
+        file = SettingsFile(Path(config))
         return self._run(
-            lambda stop: run_entry(settings, _adapter(settings), random.Random(), stop), log_level
+            lambda stop: run_entry(file, _adapter(file.settings), random.Random(), stop),
+            log_level,
         )
 
     def archive(self, config: str, log_level: str) -> ExitStatus:
         """Run an archive."""
         from toucanlead_serving.archive_process import run_archive
 
-        settings = load_process_settings(Path(config))
+        file = SettingsFile(Path(config))
         return self._run(
-            lambda stop: run_archive(settings, _adapter(settings), random.Random(), stop),
+            lambda stop: run_archive(file, _adapter(file.settings), random.Random(), stop),
             log_level,
         )
 
@@ -67,8 +72,12 @@
         return self._run(lambda stop: run_until(Daemon(settings, random.Random()), stop), log_level)
 
     def _run(self, run: Run, log_level: str) -> ExitStatus:
-        configure_logs(self._env.stdout, log_level)
-        asyncio.run(_until_signal(run))
+        writer = LogWriter(self._env.stdout.fileno())
+        configure_logs(writer, log_level)
+        try:
+            asyncio.run(_until_signal(run))
+        finally:
+            writer.close()
         return ExitStatus.SUCCESS
 
 
--- a/libs/core/toucanlead_core/process_settings.py
+++ b/libs/core/toucanlead_core/process_settings.py
@@ -101,6 +101,31 @@
     zones: dict[str, str] = field(factory=dict)
 
 
+class SettingsFile:
+    """A settings file that may change while the process runs."""
+
+    def __init__(self, path: Path) -> None:
+        """Read the file; raise SettingsError naming every error."""
+        self._path = path
+        self._text = read_settings(path)
+        self.settings = parse_settings(self._text, str(path), ProcessSettings)
+
+    def changed(self) -> bool:
+        """Read the file again; say whether the settings are others than before.
+
+        Raises SettingsError once for each file with errors; the settings stay.
+        """
+        text = read_settings(self._path)
+        if text == self._text:
+            return False
+        self._text = text
+        settings = parse_settings(text, str(self._path), ProcessSettings)
+        if settings == self.settings:
+            return False
+        self.settings = settings
+        return True
+
+
 def load_process_settings(path: Path) -> ProcessSettings:
     """Read a settings file; raise SettingsError naming every error."""
     return parse_settings(read_settings(path), str(path), ProcessSettings)
--- a/libs/serving/toucanlead_serving/archive_process.py
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -13,7 +13,7 @@
 from toucanlead_archive.upkeep import Upkeep
 from toucanlead_core.errors import NotSent, OutcomeUnknown
 from toucanlead_core.ids import random_id
-from toucanlead_core.process_settings import ProcessSettings
+from toucanlead_core.process_settings import ProcessSettings, SettingsFile
 from toucanlead_core.sockets import split_address
 from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import LoopTimers
@@ -23,6 +23,7 @@
 from toucanlead_peer.serving_transport import GrpcArchives, GrpcRelay, serving_server
 
 from .adapter import Adapter, RetirementKeys
+from .reload import SettingsReload
 
 log = structlog.get_logger()
 
@@ -107,6 +108,11 @@
             turns=len(self._turns.held),
         )
 
+    def apply(self, settings: ProcessSettings) -> None:
+        """Take changed settings; addresses, names and the disk count from the next start on."""
+        self.settings = settings
+        self.upkeep.copies = settings.tolerance.vms + 1
+
     async def stop(self) -> None:
         """Finish writes in progress and close; the disk keeps what it holds."""
         log.info('archive_stopping', turns=len(self._turns.held))
@@ -181,10 +187,13 @@
 
 
 async def run_archive(
-    settings: ProcessSettings, adapter: Adapter, rng: random.Random, stop: asyncio.Event
+    file: SettingsFile, adapter: Adapter, rng: random.Random, stop: asyncio.Event
 ) -> None:
     """Run an archive until told to stop."""
-    process = ArchiveProcess(settings, adapter, rng)
+    process = ArchiveProcess(file.settings, adapter, rng)
     await process.start()
+    reload = SettingsReload(file, process.apply)
+    reload.start()
     await stop.wait()
+    reload.stop()
     await process.stop()
--- a/libs/serving/toucanlead_serving/budgets.py
+++ b/libs/serving/toucanlead_serving/budgets.py
@@ -230,6 +230,14 @@
         if result.succeeded:
             allowance.grant(amount, record.granted, result.revision)
             allowance.holder = self._address
+            log.info(
+                'budget_granted',
+                program=allowance.program,
+                tokens=amount,
+                recorded=record.granted,
+                budget=record.budget,
+                revision=result.revision,
+            )
             return True
         return self._learn(allowance, key, result.current, record.nonce, amount)
 
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -7,7 +7,7 @@
 
 from toucanlead_archive.directory import ARCHIVE_PREFIX, ArchiveDirectory
 from toucanlead_core.ids import random_id
-from toucanlead_core.process_settings import ProcessSettings
+from toucanlead_core.process_settings import ProcessSettings, SettingsFile
 from toucanlead_core.sockets import split_address
 from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import LoopTimers
@@ -28,6 +28,7 @@
 from .forwarder import Forwarder
 from .metrics import ServingMetrics
 from .registry import Registry
+from .reload import SettingsReload
 from .routes import CurrentRoutes
 from .turns import Turns
 
@@ -112,6 +113,12 @@
         await self._door.start()
         log.info('entry_started', name=self.settings.process.name)
 
+    def apply(self, settings: ProcessSettings) -> None:
+        """Take changed settings; addresses and names count from the next start on."""
+        self.settings = settings
+        self.registry.regions = settings.zones
+        self.turns.copies = settings.tolerance.vms + 1
+
     async def stop(self) -> None:
         """Let callers go elsewhere, finish what is in progress, give budgets back."""
         end_at = self._timers.now() + self.settings.times.grace_s - STOP_MARGIN_S
@@ -145,10 +152,13 @@
 
 
 async def run_entry(
-    settings: ProcessSettings, adapter: Adapter, rng: random.Random, stop: asyncio.Event
+    file: SettingsFile, adapter: Adapter, rng: random.Random, stop: asyncio.Event
 ) -> None:
     """Run an entry until told to stop."""
-    process = EntryProcess(settings, adapter, rng)
+    process = EntryProcess(file.settings, adapter, rng)
     await process.start()
+    reload = SettingsReload(file, process.apply)
+    reload.start()
     await stop.wait()
+    reload.stop()
     await process.stop()
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -51,6 +51,7 @@
     reservation: Reservation | None = None
     events: list[StreamEvent] = field(factory=list)
     replica: Replica | None = None
+    status: int = 0
 
     @property
     def ran(self) -> Ran:
@@ -102,12 +103,48 @@
         self.in_progress += 1
         try:
             if route.kind is RouteKind.UNSAFE:
-                await self._to_the_end(self._within_limit(journey, sink))
+                await self._to_the_end(self._carry(journey, sink))
             else:
-                await self._within_limit(journey, sink)
+                await self._carry(journey, sink)
         finally:
             self.in_progress -= 1
 
+    async def _carry(self, journey: Journey, sink: AnswerSink) -> None:
+        """Carry a request to its end, which is logged with what decided it."""
+        outcome = 'caller_left'
+        try:
+            await self._within_limit(journey, sink)
+            outcome = 'answered'
+        except Refusal as refusal:
+            outcome = refusal.reason.value
+            self._metrics.refused(refusal.reason)
+            raise
+        except ConnectionError as exc:
+            raise asyncio.CancelledError('caller has left') from exc
+        finally:
+            seconds = self._timers.now() - journey.req.arrived_at
+            if outcome == 'answered':
+                self._metrics.answered(journey.route.kind.value, seconds)
+            log.info('request_ended', **self._story(journey, outcome, seconds))
+
+    def _story(self, journey: Journey, outcome: str, seconds: float) -> dict[str, object]:
+        """Return the fields of a request's line in the log."""
+        req = journey.req
+        return {
+            'request': req.ident,
+            'outcome': outcome,
+            'ran': journey.ran.value,
+            'program': req.program.program if req.program else '',
+            'route': journey.route.name,
+            'config': journey.table.version,
+            'replica': journey.replica.ident if journey.replica else '',
+            'status': journey.status,
+            'sends': journey.sends,
+            'events': len(journey.events),
+            'ms': round(1e3 * seconds),
+            'left_ms': round(1e3 * (req.deadline_at - self._timers.now())),
+        }
+
     async def finished(self) -> None:
         """Wait for requests whose callers have left, and which are not broken off."""
         while self._kept_on:
@@ -154,6 +191,7 @@
             except OutcomeUnknown as exc:
                 self._may_try_again(journey, exc)
                 continue
+            journey.status = head.status
             await sink.begin(head, len(body))
             if body:
                 await sink.write(body)
@@ -169,6 +207,7 @@
                 call = self._call(journey, body)
                 try:
                     async with self._sent(journey, call) as answer:
+                        journey.status = answer.head.status
                         if not answer.head.streamed:
                             await self._pass_whole(answer, sink)
                             return
--- /dev/null
+++ b/libs/serving/toucanlead_serving/reload.py
@@ -0,0 +1,56 @@
+"""Settings that change while a process runs, with or without SIGHUP."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+import structlog
+
+from toucanlead_core.process_settings import ProcessSettings, SettingsError, SettingsFile
+
+log = structlog.get_logger()
+
+CHECK_PERIOD_S = 2.0  # a file may change without a signal
+
+
+class SettingsReload:
+    """Reads the settings again on SIGHUP and now and then, and hands on what changed."""
+
+    def __init__(self, file: SettingsFile, apply: Callable[[ProcessSettings], None]) -> None:
+        """Take the file, and who takes its settings."""
+        self._file = file
+        self._apply = apply
+        self._asked = asyncio.Event()
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin; SIGHUP no longer ends the process."""
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._asked.set)
+        self._task = asyncio.ensure_future(self._run())
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(CHECK_PERIOD_S):
+                    await self._asked.wait()
+                log.info('reload_asked')
+            except TimeoutError:
+                pass
+            self._asked.clear()
+            self.check()
+
+    def check(self) -> None:
+        """Read the file; one with errors changes nothing."""
+        try:
+            changed = self._file.changed()
+        except SettingsError as exc:
+            log.error('settings_refused', errors='; '.join(exc.errors))
+            return
+        if changed:
+            self._apply(self._file.settings)
+            log.info('settings_in_force')
--- a/libs/serving/toucanlead_serving/turns.py
+++ b/libs/serving/toucanlead_serving/turns.py
@@ -74,7 +74,7 @@
         self._timers = timers
         self._zone = zone
         self._region = region
-        self._copies = copies
+        self.copies = copies
         self._failed_at: dict[str, float] = {}
         self.memory = TurnMemory()
 
@@ -97,22 +97,31 @@
 
     async def keep(self, turn: Turn, program: str) -> None:
         """Make a turn durable; OutcomeUnknown when that could not be done."""
+        began_at = self._timers.now()
         disks = await self._put_on_disks(turn, program)
-        if len(disks) < self._copies:
-            log.warning('turn_kept_in_service', turn=turn.ident, copies=len(disks))
+        if len(disks) < self.copies:
+            log.warning('turn_goes_to_service', turn=turn.ident, copies=len(disks))
             await self._put_in_service(turn)
         self.memory.put(turn)
+        log.info(
+            'turn_kept',
+            turn=turn.ident,
+            previous=turn.previous,
+            disks=','.join(disks),
+            bytes=turn.size,
+            ms=round(1e3 * (self._timers.now() - began_at), 1),
+        )
 
     async def _put_on_disks(self, turn: Turn, program: str) -> list[str]:
         """Write copies, in parallel, to as many archives as needed; return their disks."""
         waiting = self._writers(program)
-        chosen, waiting = waiting[: self._copies], waiting[self._copies :]
+        chosen, waiting = waiting[: self.copies], waiting[self.copies :]
         planned = tuple(archive.disk for archive in chosen)
         results = await asyncio.gather(*(self._put(a, turn, planned) for a in chosen))
         disks = [archive.disk for archive, stored in zip(chosen, results) if stored]
-        if len(disks) == len(chosen) == self._copies:
+        if len(disks) == len(chosen) == self.copies:
             return disks
-        while waiting and len(disks) < self._copies:
+        while waiting and len(disks) < self.copies:
             archive = waiting.pop(0)
             if await self._put(archive, turn, (*disks, archive.disk)):
                 disks.append(archive.disk)
@@ -161,10 +170,20 @@
             for turn in chain.turns:
                 self.memory.put(turn)
             if chain.turns:
+                log.info(
+                    'history_fetched', turn=ident, archive=archive.name, turns=len(chain.turns)
+                )
                 return chain.turns[0]
         turn = await self._find_in_service(ident)
         if turn is not None:
             return turn
+        log.warning(
+            'turn_not_found',
+            turn=ident,
+            archives=len(self._directory.records),
+            directory_version=self._directory.version,
+            all_answered=not unanswered,
+        )
         if unanswered or not self._directory.records:
             raise _uncertain(f'{ident}: not every archive answered')
         raise Refusal(Reason.UNKNOWN_TURN, ident, step=Step.ORDER)
@@ -185,12 +204,12 @@
 
     def _writers(self, program: str) -> list[ArchiveRecord]:
         archives = [a for a in self._ordered(program) if not a.retiring]
-        return spread_over_zones(archives, self._copies)
+        return spread_over_zones(archives, self.copies)
 
     def _readers(self, program: str) -> list[ArchiveRecord]:
         """Return the likely holders first, those in this zone before others."""
-        archives = spread_over_zones(self._ordered(program), self._copies)
-        likely, rest = archives[: self._copies], archives[self._copies :]
+        archives = spread_over_zones(self._ordered(program), self.copies)
+        likely, rest = archives[: self.copies], archives[self.copies :]
         return sorted(likely, key=lambda a: a.zone != self._zone) + rest
 
     def _ordered(self, program: str) -> list[ArchiveRecord]:
