--- a/libs/archive/toucanlead_archive/directory.py
+++ b/libs/archive/toucanlead_archive/directory.py
@@ -9,6 +9,7 @@
 
 from toucanlead_core.codec import from_json, to_json
 from toucanlead_core.ids import rendezvous
+from toucanlead_core.process_settings import ProcessSettings
 from toucanlead_kv.follow import ChangeSink
 from toucanlead_kv.kv import KvEntry, WatchEvent
 
@@ -112,3 +113,9 @@
         else:
             rest.append(archive)
     return first + rest
+
+
+def relay_peers(settings: ProcessSettings, directory: ArchiveDirectory) -> list[str]:
+    """Return the archives' addresses, those in the settings first, without this process."""
+    known = [*settings.service.seeds, *(record.address for record in directory.all())]
+    return [address for address in dict.fromkeys(known) if address != settings.listen.peers]
--- a/libs/kv/toucanlead_kv/follow.py
+++ b/libs/kv/toucanlead_kv/follow.py
@@ -14,8 +14,10 @@
 log = structlog.get_logger()
 
 WAIT_S = 25.0  # the platform lets a watch wait for 30 s
+MIN_WAIT_S = 0.05
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 0.8  # lapsed entries are back within 2 s of the service's return
+CHECKS_S = (1.0, 2.5)  # after a watch was cut, read everything again this much later
 PROBE_PERIOD_S = 1.0  # a stale read costs a tenth of a call
 PROBE_TIMEOUT_S = 0.9
 
@@ -51,6 +53,7 @@
         self._sink = sink
         self._renew = asyncio.Event()
         self._revision: int | None = None
+        self._checks_at: list[float] = []
         self.heard_at: float | None = None
         self.synced = asyncio.Event()
 
@@ -62,7 +65,9 @@
         """Follow the prefix until cancelled."""
         delay_s = RETRY_BASE_S
         while True:
-            self._renew.clear()
+            if self._renew.is_set():
+                self._renew.clear()
+                self._distrust()
             try:
                 if self._revision is None:
                     await self._read()
@@ -70,9 +75,10 @@
                 delay_s = RETRY_BASE_S
             except HistoryLost as exc:
                 log.info('watch_history_lost', prefix=self._prefix, detail=str(exc))
-                self._revision = None
+                self._distrust()
             except (NotSent, OutcomeUnknown) as exc:
-                log.debug('watch_failed', prefix=self._prefix, error=str(exc))
+                log.info('watch_failed', prefix=self._prefix, error=str(exc))
+                self._distrust()
                 await self._timers.sleep(delay_s * self._rng.uniform(0.5, 1.0))
                 delay_s = min(2 * delay_s, RETRY_LIMIT_S)
             except Exception as exc:  # what cannot be read now may be mended by the next change
@@ -86,9 +92,25 @@
         self._heard(snapshot.revision)
         self.synced.set()
 
+    def _distrust(self) -> None:
+        """Read everything again, now and a little later.
+
+        A watch that begins just before the service drops its history may hear
+        nothing of what was dropped, and a watch that was cut may be the sign of it.
+        """
+        self._revision = None
+        now = self._timers.now()
+        self._checks_at = [now + after_s for after_s in CHECKS_S]
+
+    def _wait_s(self) -> float:
+        """Return how long to poll before everything is to be read again."""
+        if not self._checks_at:
+            return WAIT_S
+        return max(MIN_WAIT_S, self._checks_at[0] - self._timers.now())
+
     async def _wait(self) -> None:
         """Poll once, unless asked to begin again meanwhile."""
-        poll = asyncio.ensure_future(self._store.poll(self._prefix, self._revision, WAIT_S))
+        poll = asyncio.ensure_future(self._store.poll(self._prefix, self._revision, self._wait_s()))
         renew = asyncio.ensure_future(self._renew.wait())
         try:
             await asyncio.wait({poll, renew}, return_when=asyncio.FIRST_COMPLETED)
@@ -96,6 +118,9 @@
                 changes = poll.result()
                 self._sink.apply(changes.events)
                 self._heard(changes.revision)
+            if self._checks_at and self._timers.now() >= self._checks_at[0]:
+                self._checks_at.pop(0)
+                self._revision = None
         finally:
             for task in (poll, renew):
                 task.cancel()
@@ -135,10 +160,15 @@
             if self.lost_since is None:
                 self.lost_since = self._timers.now()
                 log.warning('key_value_service_lost', error=str(exc) or 'no answer')
+                self._restart_all()
             return
         if self.lost_since is not None:
             away_s = self._timers.now() - self.lost_since
             self.lost_since = None
             log.info('key_value_service_regained', away_s=round(away_s, 3))
-            for follower in self._followers:
-                follower.restart()
+            self._restart_all()
+
+    def _restart_all(self) -> None:
+        """Let calls that may never be answered begin again."""
+        for follower in self._followers:
+            follower.restart()
--- a/libs/serving/toucanlead_serving/adapter.py
+++ b/libs/serving/toucanlead_serving/adapter.py
@@ -62,10 +62,8 @@
     """One platform."""
 
     @abc.abstractmethod
-    def store(
-        self, settings: ProcessSettings, timers: Timers, peers: RelayTransport
-    ) -> PollingStore:
-        """Return the key-value service."""
+    def store(self, relay: RelayTransport, peers: Callable[[], list[str]]) -> PollingStore:
+        """Return the key-value service; peers, by host:port, make calls when it turns us away."""
 
     @abc.abstractmethod
     def relay(self) -> RelayHandler:
--- a/libs/serving/toucanlead_serving/archive_process.py
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -8,7 +8,12 @@
 from attrs import evolve
 
 from toucanlead_archive.archive import Archive
-from toucanlead_archive.directory import ARCHIVE_PREFIX, ArchiveDirectory, ArchiveRecord
+from toucanlead_archive.directory import (
+    ARCHIVE_PREFIX,
+    ArchiveDirectory,
+    ArchiveRecord,
+    relay_peers,
+)
 from toucanlead_archive.store import TurnStore
 from toucanlead_archive.upkeep import Upkeep
 from toucanlead_core.errors import NotSent, OutcomeUnknown
@@ -47,6 +52,10 @@
         if any(entry.key == self._key for entry in entries):
             self.wanted.set()
 
+    def _relay_peers(self) -> list[str]:
+        """Return addresses of processes that can make calls to the key-value service for us."""
+        return relay_peers(self.settings, self.directory)
+
     def apply(self, events: list[WatchEvent]) -> None:
         """Take changes."""
         if any(e.key == self._key and e.value is not None for e in events):
@@ -70,7 +79,7 @@
         )
         self.archive = Archive(self._turns)
         self.directory = ArchiveDirectory()
-        self._store = adapter.store(settings, self._timers, GrpcRelay(self._channels))
+        self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers)
         self.upkeep = Upkeep(
             self.archive,
             self.directory,
@@ -108,6 +117,10 @@
             turns=len(self._turns.held),
         )
 
+    def _relay_peers(self) -> list[str]:
+        """Return addresses of processes that can make calls to the key-value service for us."""
+        return relay_peers(self.settings, self.directory)
+
     def apply(self, settings: ProcessSettings) -> None:
         """Take changed settings; addresses, names and the disk count from the next start on."""
         self.settings = settings
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from toucanlead_archive.directory import ARCHIVE_PREFIX, ArchiveDirectory
+from toucanlead_archive.directory import ARCHIVE_PREFIX, ArchiveDirectory, relay_peers
 from toucanlead_core.ids import random_id
 from toucanlead_core.process_settings import ProcessSettings, SettingsFile
 from toucanlead_core.sockets import split_address
@@ -54,7 +54,7 @@
         self.routes = CurrentRoutes()
         self.registry = Registry(settings.zones)
         self.directory = ArchiveDirectory()
-        self._store = adapter.store(settings, self._timers, GrpcRelay(self._channels))
+        self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers)
         self.budgets = Budgets(
             self._store,
             GrpcEscrow(self._channels),
@@ -113,6 +113,10 @@
         await self._door.start()
         log.info('entry_started', name=self.settings.process.name)
 
+    def _relay_peers(self) -> list[str]:
+        """Return addresses of processes that can make calls to the key-value service for us."""
+        return relay_peers(self.settings, self.directory)
+
     def apply(self, settings: ProcessSettings) -> None:
         """Take changed settings; addresses and names count from the next start on."""
         self.settings = settings
