A turn is denied only when every known archive was asked

Ruled out: lost writes on the disks, an unreadable file. Change: the archives that were asked are compared with those known at the end; an entry is ready only once all that it follows has been read. Test: tests/platform/test_turns.py fails before on the archives that became known meanwhile.

--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -99,7 +99,8 @@
 
     def is_ready(self) -> bool:
         """Say whether new callers should come here."""
-        return not self._stopping and self.routes.table is not None and self._knows_replicas()
+        synced = all(follower.synced.is_set() for follower in self._followers)
+        return not self._stopping and synced and bool(self.registry.replicas)
 
     async def start(self) -> None:
         """Open the sockets and begin to follow the key-value service."""
@@ -144,9 +145,6 @@
         await self._adapter.close()
         log.info('entry_stopped', name=self.settings.process.name)
 
-    def _knows_replicas(self) -> bool:
-        return bool(self.registry.replicas)
-
     async def _upkeep(self) -> None:
         while True:
             await self._timers.sleep(UPKEEP_S)
--- a/libs/serving/toucanlead_serving/turns.py
+++ b/libs/serving/toucanlead_serving/turns.py
@@ -160,7 +160,8 @@
     async def _find(self, ident: str, program: str) -> Turn:
         """Ask the archives, then the service; Refusal when the turn is not found."""
         unanswered = False
-        for archive in self._readers(program):
+        asked = self._readers(program)
+        for archive in asked:
             try:
                 chain = await self._archives.fetch(archive.address, ident, [], FETCH_TIMEOUT_S)
             except (NotSent, OutcomeUnknown) as exc:
@@ -177,14 +178,16 @@
         turn = await self._find_in_service(ident)
         if turn is not None:
             return turn
+        all_asked = bool(asked) and self._directory.disks() <= {a.disk for a in asked}
         log.warning(
             'turn_not_found',
             turn=ident,
-            archives=len(self._directory.records),
+            asked=len(asked),
             directory_version=self._directory.version,
+            all_asked=all_asked,
             all_answered=not unanswered,
         )
-        if unanswered or not self._directory.records:
+        if unanswered or not all_asked:
             raise _uncertain(f'{ident}: not every archive answered')
         raise Refusal(Reason.UNKNOWN_TURN, ident, step=Step.ORDER)
 
--- /dev/null
+++ b/tests/platform/test_turns.py
@@ -0,0 +1,113 @@
+"""Finding and keeping turns: a turn that was answered whole is never denied."""
+
+import asyncio
+
+import pytest
+from attrs import define, field
+
+from toucanlead_archive.directory import ArchiveDirectory, ArchiveRecord
+from toucanlead_core.errors import Reason, Refusal
+from toucanlead_kv.kv import KeyValueStore, KvEntry, WatchEvent
+from toucanlead_peer.turns import ArchiveTransport, Chain, Stored, Turn
+from toucanlead_serving.turns import Turns
+
+from .fleet import ENTRY_1, ENTRY_2, on_fleet
+from .test_allowance import FakeTimers
+
+RECORD = ArchiveRecord('archive-1', 'disk-1', '10.2.0.1:8002', 'centro-a', 'centro')
+
+
+def register(directory):
+    directory.apply([WatchEvent(RECORD.key, RECORD.value(), 7)])
+
+
+@define
+class SlowStore(KeyValueStore):
+    """Answers that there is no such key, after something else has happened."""
+
+    meanwhile: object = None
+
+    async def get(self, key):
+        if self.meanwhile is not None:
+            self.meanwhile()
+
+    async def scan(self, prefix) -> list[KvEntry]:
+        return []
+
+    async def txn(self, compares, ops):
+        raise AssertionError('nothing is written')
+
+    async def grant_lease(self, ttl_s):
+        raise AssertionError
+
+    async def keep_alive(self, lease):
+        raise AssertionError
+
+    async def revoke(self, lease):
+        raise AssertionError
+
+    def watch(self, prefix, from_rev):
+        raise AssertionError
+
+
+@define
+class Archives(ArchiveTransport):
+    """Archives that hold the turns given to them."""
+
+    held: dict[str, list[Turn]] = field(factory=dict)
+
+    async def put(self, address, turn, timeout_s):
+        self.held.setdefault(address, []).append(turn)
+        return Stored('disk-1', True)
+
+    async def fetch(self, address, ident, known, timeout_s):
+        return Chain([turn for turn in self.held.get(address, []) if turn.ident == ident])
+
+    async def copy(self, address, turns, timeout_s):
+        raise AssertionError
+
+    async def amend(self, address, idents, disks, timeout_s):
+        return len(idents)
+
+
+def turns_of(directory, store, archives=None):
+    return Turns(
+        directory, archives or Archives(), store, FakeTimers(), 'centro-a', 'centro', copies=1
+    )
+
+
+class TestDenial:
+    def refusal(self, turns):
+        with pytest.raises(Refusal) as caught:
+            asyncio.run(turns.history('t1', 'p1', 1e9))
+        return caught.value.reason
+
+    def test_a_turn_that_no_archive_holds_is_unknown(self):
+        directory = ArchiveDirectory()
+        register(directory)
+        assert self.refusal(turns_of(directory, SlowStore())) is Reason.UNKNOWN_TURN
+
+    def test_without_archives_nothing_is_certain(self):
+        turns = turns_of(ArchiveDirectory(), SlowStore())
+        assert self.refusal(turns) is Reason.HISTORY_UNAVAILABLE
+
+    def test_archives_that_became_known_only_meanwhile_were_not_asked(self):
+        directory = ArchiveDirectory()
+        store = SlowStore(lambda: register(directory))
+        assert self.refusal(turns_of(directory, store)) is Reason.HISTORY_UNAVAILABLE
+
+
+class TestRestart:
+    @on_fleet()
+    async def test_an_entry_that_has_just_started_denies_no_turn(self, site, caller):
+        caller.budget = 100_000
+        first = await caller.turn(ENTRY_1)
+        for _ in range(5):
+            site.network.kill(ENTRY_2.ip)
+            await site.start_entry(ENTRY_2)
+            statuses = set()
+            for _ in range(20):
+                reply = await caller.turn(ENTRY_2, previous=first.ident)
+                statuses.add(reply.status)
+            assert 404 not in statuses
+            assert 200 in statuses
