Entries register, and help one another to reach the key-value service

Test: an entry cut off from service and archives serves both kinds of turns within a second and takes a new configuration; it fails before.

--- a/libs/archive/toucanlead_archive/directory.py
+++ b/libs/archive/toucanlead_archive/directory.py
@@ -1,21 +1,25 @@
-"""Directory of archives, kept in the key-value service and followed by every process.
+"""Directory of the system's processes, kept in the key-value service and followed by each.
 
-An archive's record stays when its process is down: what its disk holds is still there.
-It goes when the archive has handed everything over.
+Records have no lease: what an archive's disk holds is still there when its process is
+down, and an entry mostly comes back at its address. An archive's record goes when it has
+handed everything over.
 """
 
 import structlog
 from attrs import define, field, frozen
 
 from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.errors import NotSent, OutcomeUnknown
 from toucanlead_core.ids import rendezvous
 from toucanlead_core.process_settings import ProcessSettings
 from toucanlead_kv.follow import ChangeSink
-from toucanlead_kv.kv import KvEntry, WatchEvent
+from toucanlead_kv.kv import Compare, KeyValueStore, KvEntry, Put, WatchEvent
 
 log = structlog.get_logger()
 
-ARCHIVE_PREFIX = 'toucanlead/archives/'
+PEER_PREFIX = 'toucanlead/peers/'
+_ARCHIVE_PREFIX = PEER_PREFIX + 'archives/'
+_ENTRY_PREFIX = PEER_PREFIX + 'entries/'
 
 
 @frozen
@@ -32,24 +36,37 @@
     @property
     def key(self) -> str:
         """Return the record's key."""
-        return ARCHIVE_PREFIX + self.name
+        return _ARCHIVE_PREFIX + self.name
 
-    def value(self) -> bytes:
-        """Return the record as it is stored."""
-        return to_json(self)
+
+@frozen
+class EntryRecord:
+    """One entry: its VM, and where it listens for other processes."""
+
+    name: str
+    address: str
+    zone: str
+    region: str
+
+    @property
+    def key(self) -> str:
+        """Return the record's key."""
+        return _ENTRY_PREFIX + self.name
 
 
 @define
-class ArchiveDirectory(ChangeSink):
-    """The archives as last heard; `lost_disks` are those whose VM came back without them."""
+class PeerDirectory(ChangeSink):
+    """Archives and entries as last heard, by key."""
 
-    records: dict[str, ArchiveRecord] = field(factory=dict)
+    archives: dict[str, ArchiveRecord] = field(factory=dict)
+    entries: dict[str, EntryRecord] = field(factory=dict)
     revisions: dict[str, int] = field(factory=dict)
     version: int = 0
 
     def replace(self, entries: list[KvEntry]) -> None:
         """Take all records."""
-        self.records.clear()
+        self.archives.clear()
+        self.entries.clear()
         self.revisions.clear()
         for entry in entries:
             self._put(entry.key, entry.value, entry.mod_rev)
@@ -59,31 +76,32 @@
         """Take changes."""
         for event in events:
             if event.value is None:
-                self.records.pop(event.key, None)
+                self.archives.pop(event.key, None)
+                self.entries.pop(event.key, None)
                 self.revisions.pop(event.key, None)
             else:
                 self._put(event.key, event.value, event.mod_rev)
         self.version += bool(events)
 
-    def all(self) -> list[ArchiveRecord]:
-        """Return all archives."""
-        return list(self.records.values())
+    def record(self, key: str) -> ArchiveRecord | EntryRecord | None:
+        """Return the record at a key."""
+        return self.archives.get(key) or self.entries.get(key)
 
     def disks(self) -> set[str]:
         """Return the disks that exist."""
-        return {record.disk for record in self.records.values()}
+        return {record.disk for record in self.archives.values()}
 
     def by_disk(self, disk: str) -> ArchiveRecord | None:
         """Return the archive with a disk, None when there is none any more."""
-        return next((r for r in self.records.values() if r.disk == disk), None)
+        return next((r for r in self.archives.values() if r.disk == disk), None)
 
     def nearest(self, key: str, zone: str, region: str) -> list[ArchiveRecord]:
         """Order archives for a key: own zone, own region, other regions.
 
-        Within each the order follows from the key alone, so that a reader in the
-        same zone asks first where a writer wrote first.
+        Within each the order follows from the key alone, so that a reader asks first
+        where a writer wrote first.
         """
-        by_disk = {record.disk: record for record in self.records.values()}
+        by_disk = {record.disk: record for record in self.archives.values()}
         ordered = [by_disk[disk] for disk in rendezvous(key, list(by_disk))]
 
         def distance(record: ArchiveRecord) -> int:
@@ -93,15 +111,53 @@
 
         return sorted(ordered, key=distance)
 
+    def relays(self, settings: ProcessSettings) -> list[str]:
+        """Return addresses of peers that may call the key-value service for this process.
+
+        Archives from the settings come first, then entries near by, then the rest.
+        """
+        place = settings.process
+        peers = [*self.entries.values(), *self.archives.values()]
+        near = sorted(peers, key=lambda p: (p.region != place.region, p.zone != place.zone))
+        known = [*settings.service.seeds, *(peer.address for peer in near)]
+        return [address for address in dict.fromkeys(known) if address != settings.listen.peers]
+
     def _put(self, key: str, value: bytes, revision: int) -> None:
         try:
-            self.records[key] = from_json(value, ArchiveRecord)
+            if key.startswith(_ARCHIVE_PREFIX):
+                self.archives[key] = from_json(value, ArchiveRecord)
+            elif key.startswith(_ENTRY_PREFIX):
+                self.entries[key] = from_json(value, EntryRecord)
         except ValueError as exc:
-            log.warning('archive_record_unreadable', key=key, error=str(exc))
+            log.warning('peer_record_unreadable', key=key, error=str(exc))
             return
         self.revisions[key] = revision
 
 
+async def register(
+    store: KeyValueStore, directory: PeerDirectory, record: ArchiveRecord | EntryRecord
+) -> bool:
+    """Write a record unless it stands as it should; say whether it does.
+
+    An answer that was lost shows at the next try, by the record itself.
+    """
+    if directory.record(record.key) == record:
+        return True
+    value = to_json(record)
+    compare = Compare(record.key, directory.revisions.get(record.key, 0))
+    try:
+        result = await store.txn([compare], [Put(record.key, value)])
+    except (NotSent, OutcomeUnknown) as exc:
+        log.info('register_failed', key=record.key, error=str(exc))
+        return False
+    if result.succeeded:
+        directory.apply([WatchEvent(record.key, value, result.revision)])
+        log.info('registered', key=record.key, revision=result.revision)
+    else:
+        directory.apply([WatchEvent(e.key, e.value, e.mod_rev) for e in result.current])
+    return result.succeeded
+
+
 def spread_over_zones(archives: list[ArchiveRecord], count: int) -> list[ArchiveRecord]:
     """Return archives in order, the first `count` in different zones where there are enough."""
     zones: set[str] = set()
@@ -113,9 +169,3 @@
         else:
             rest.append(archive)
     return first + rest
-
-
-def relay_peers(settings: ProcessSettings, directory: ArchiveDirectory) -> list[str]:
-    """Return the archives' addresses, those in the settings first, without this process."""
-    known = [*settings.service.seeds, *(record.address for record in directory.all())]
-    return [address for address in dict.fromkeys(known) if address != settings.listen.peers]
--- a/libs/archive/toucanlead_archive/upkeep.py
+++ b/libs/archive/toucanlead_archive/upkeep.py
@@ -11,7 +11,7 @@
 from toucanlead_peer.turns import ArchiveTransport, Turn
 
 from .archive import Archive
-from .directory import ArchiveDirectory, ArchiveRecord, spread_over_zones
+from .directory import ArchiveRecord, PeerDirectory, spread_over_zones
 
 log = structlog.get_logger()
 
@@ -37,7 +37,7 @@
     """Keeps `copies` copies of each turn on disks that exist."""
 
     archive: Archive
-    directory: ArchiveDirectory
+    directory: PeerDirectory
     transport: ArchiveTransport
     timers: Timers
     name: str
@@ -186,7 +186,7 @@
 
     async def _probe_peers(self) -> None:
         """Learn which archives can be reached."""
-        peers = [r for r in self.directory.all() if r.name != self.name]
+        peers = [r for r in self.directory.archives.values() if r.name != self.name]
         await asyncio.gather(*(self._probe(record) for record in peers))
         now = self.timers.now()
         names = {record.name for record in peers}
--- a/libs/serving/toucanlead_serving/archive_process.py
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -9,10 +9,10 @@
 
 from toucanlead_archive.archive import Archive
 from toucanlead_archive.directory import (
-    ARCHIVE_PREFIX,
-    ArchiveDirectory,
+    PEER_PREFIX,
     ArchiveRecord,
-    relay_peers,
+    PeerDirectory,
+    register,
 )
 from toucanlead_archive.store import TurnStore
 from toucanlead_archive.upkeep import Upkeep
@@ -23,7 +23,7 @@
 from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import LoopTimers
 from toucanlead_kv.follow import ChangeSink, Follower, StoreWatchdog
-from toucanlead_kv.kv import Compare, Delete, KvEntry, Put, WatchEvent
+from toucanlead_kv.kv import Delete, KvEntry, Put, WatchEvent
 from toucanlead_peer.channels import Channels
 from toucanlead_peer.serving_transport import GrpcArchives, GrpcRelay, serving_server
 
@@ -54,7 +54,7 @@
 
     def _relay_peers(self) -> list[str]:
         """Return addresses of processes that can make calls to the key-value service for us."""
-        return relay_peers(self.settings, self.directory)
+        return self.directory.relays(self.settings)
 
     def apply(self, events: list[WatchEvent]) -> None:
         """Take changes."""
@@ -78,7 +78,7 @@
             lambda: random_id(random.SystemRandom()),
         )
         self.archive = Archive(self._turns)
-        self.directory = ArchiveDirectory()
+        self.directory = PeerDirectory()
         self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers)
         self.upkeep = Upkeep(
             self.archive,
@@ -99,10 +99,10 @@
         host, port = split_address(self.settings.listen.peers)
         await self._server.start(host, port)
         followers = [
-            Follower(self._store, self._timers, self._rng, ARCHIVE_PREFIX, self.directory),
+            Follower(self._store, self._timers, self._rng, PEER_PREFIX, self.directory),
             Follower(self._store, self._timers, self._rng, self._keys.order, self._order),
         ]
-        watchdog = StoreWatchdog(self._store, self._timers, ARCHIVE_PREFIX)
+        watchdog = StoreWatchdog(self._store, self._timers, PEER_PREFIX)
         for follower in followers:
             watchdog.watch_over(follower)
             self._tasks.spawn(follower.run(), 'follow')
@@ -119,7 +119,7 @@
 
     def _relay_peers(self) -> list[str]:
         """Return addresses of processes that can make calls to the key-value service for us."""
-        return relay_peers(self.settings, self.directory)
+        return self.directory.relays(self.settings)
 
     def apply(self, settings: ProcessSettings) -> None:
         """Take changed settings; addresses, names and the disk count from the next start on."""
@@ -148,31 +148,10 @@
         await follower.synced.wait()
         while True:
             if not self._order.wanted.is_set():
-                await self._register()
+                await register(self._store, self.directory, self._record())
                 await self.upkeep.restore()
             await self._timers.sleep(RESTORE_PERIOD_S)
 
-    async def _register(self) -> None:
-        """Write this archive's record unless it stands as it should."""
-        record = self._record()
-        if self.directory.records.get(record.key) != record:
-            await self._write(record)
-
-    async def _write(self, record: ArchiveRecord) -> None:
-        revision = self.directory.revisions.get(record.key, 0)
-        try:
-            result = await self._store.txn(
-                [Compare(record.key, revision)], [Put(record.key, record.value())]
-            )
-        except (NotSent, OutcomeUnknown) as exc:
-            log.info('register_failed', error=str(exc))
-            return
-        if result.succeeded:
-            self.directory.apply([WatchEvent(record.key, record.value(), result.revision)])
-            log.info('archive_registered', disk=record.disk, retiring=record.retiring)
-        else:
-            self.directory.apply([WatchEvent(e.key, e.value, e.mod_rev) for e in result.current])
-
     async def _retire_when_asked(self) -> None:
         """Empty the disk on the operator's order, and report when that is done."""
         await self._order.wanted.wait()
@@ -181,8 +160,7 @@
         leaving = evolve(self._record(), retiring=True)
         await self._report(self._keys.running, [])
         while True:
-            if self.directory.records.get(leaving.key) != leaving:
-                await self._write(leaving)
+            await register(self._store, self.directory, leaving)
             if await self.upkeep.hand_over():
                 break
             await self._timers.sleep(RETIRE_RETRY_S)
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -5,7 +5,12 @@
 
 import structlog
 
-from toucanlead_archive.directory import ARCHIVE_PREFIX, ArchiveDirectory, relay_peers
+from toucanlead_archive.directory import (
+    PEER_PREFIX,
+    EntryRecord,
+    PeerDirectory,
+    register,
+)
 from toucanlead_core.ids import random_id
 from toucanlead_core.process_settings import ProcessSettings, SettingsFile
 from toucanlead_core.sockets import split_address
@@ -53,7 +58,7 @@
         self.metrics = ServingMetrics()
         self.routes = CurrentRoutes()
         self.registry = Registry(settings.zones)
-        self.directory = ArchiveDirectory()
+        self.directory = PeerDirectory()
         self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers)
         self.budgets = Budgets(
             self._store,
@@ -86,10 +91,10 @@
         )
         self._door = adapter.door(settings, self.forwarder, self._timers, self.is_ready)
         self._peer_server = serving_server(escrow=self.budgets, relay=adapter.relay())
-        self._watchdog = StoreWatchdog(self._store, self._timers, ARCHIVE_PREFIX)
+        self._watchdog = StoreWatchdog(self._store, self._timers, PEER_PREFIX)
         followed = [
             *adapter.followed(self.routes, self.registry, self._timers.now),
-            Followed(ARCHIVE_PREFIX, self.directory),
+            Followed(PEER_PREFIX, self.directory),
         ]
         self._followers = [
             Follower(self._store, self._timers, rng, one.prefix, one.sink) for one in followed
@@ -116,7 +121,7 @@
 
     def _relay_peers(self) -> list[str]:
         """Return addresses of processes that can make calls to the key-value service for us."""
-        return relay_peers(self.settings, self.directory)
+        return self.directory.relays(self.settings)
 
     def apply(self, settings: ProcessSettings) -> None:
         """Take changed settings; addresses and names count from the next start on."""
@@ -145,8 +150,14 @@
         await self._adapter.close()
         log.info('entry_stopped', name=self.settings.process.name)
 
+    def _record(self) -> EntryRecord:
+        place = self.settings.process
+        return EntryRecord(place.name, self.settings.listen.peers, place.zone, place.region)
+
     async def _upkeep(self) -> None:
+        await self._followers[-1].synced.wait()
         while True:
+            await register(self._store, self.directory, self._record())
             await self._timers.sleep(UPKEEP_S)
             self.dispatch.forget_gone()
             self._client.keep_only(list(self.registry.replicas.values()))
--- a/libs/serving/toucanlead_serving/turns.py
+++ b/libs/serving/toucanlead_serving/turns.py
@@ -6,7 +6,7 @@
 import structlog
 from attrs import define, evolve, field
 
-from toucanlead_archive.directory import ArchiveDirectory, ArchiveRecord, spread_over_zones
+from toucanlead_archive.directory import ArchiveRecord, PeerDirectory, spread_over_zones
 from toucanlead_core.errors import NotSent, OutcomeUnknown, Reason, Refusal, Step
 from toucanlead_core.timers import Timers
 from toucanlead_kv.kv import Compare, KeyValueStore, Put
@@ -19,7 +19,7 @@
 MEMORY_BYTES = 6_000_000  # about a thousand turns of five kilobytes
 PUT_TIMEOUT_S = 0.3  # a round trip between regions, a sync, and one retransmission
 FETCH_TIMEOUT_S = 0.3
-AVOID_S = 2.0  # an archive that failed is asked last for so long
+AVOID_S = 1.0  # an archive that failed is not asked again for so long
 HISTORY_RETRY_AFTER_MS = 300
 
 
@@ -59,7 +59,7 @@
 
     def __init__(
         self,
-        directory: ArchiveDirectory,
+        directory: PeerDirectory,
         archives: ArchiveTransport,
         store: KeyValueStore,
         timers: Timers,
@@ -114,7 +114,7 @@
 
     async def _put_on_disks(self, turn: Turn, program: str) -> list[str]:
         """Write copies, in parallel, to as many archives as needed; return their disks."""
-        waiting = self._writers(program)
+        waiting = [archive for archive in self._writers(program) if self._may_try(archive)]
         chosen, waiting = waiting[: self.copies], waiting[self.copies :]
         planned = tuple(archive.disk for archive in chosen)
         results = await asyncio.gather(*(self._put(a, turn, planned) for a in chosen))
@@ -162,6 +162,9 @@
         unanswered = False
         asked = self._readers(program)
         for archive in asked:
+            if not self._may_try(archive):
+                unanswered = True
+                continue
             try:
                 chain = await self._archives.fetch(archive.address, ident, [], FETCH_TIMEOUT_S)
             except (NotSent, OutcomeUnknown) as exc:
@@ -216,14 +219,14 @@
         return sorted(likely, key=lambda a: a.zone != self._zone) + rest
 
     def _ordered(self, program: str) -> list[ArchiveRecord]:
-        """Order archives by region and program; those that just failed go last."""
+        """Order archives by region and program; those that have just failed go last."""
         archives = self._directory.nearest(program, '', self._region)
-        now = self._timers.now()
-
-        def failed(archive: ArchiveRecord) -> bool:
-            return now - self._failed_at.get(archive.disk, -AVOID_S) < AVOID_S
+        return sorted(archives, key=lambda archive: not self._may_try(archive))
 
-        return sorted(archives, key=failed)
+    def _may_try(self, archive: ArchiveRecord) -> bool:
+        """Say whether to ask an archive; one that has just failed is spared a while."""
+        failed_at = self._failed_at.get(archive.disk)
+        return failed_at is None or self._timers.now() - failed_at >= AVOID_S
 
     def _failed(self, archive: ArchiveRecord, exc: Exception) -> None:
         self._failed_at[archive.disk] = self._timers.now()
--- a/tests/platform/test_service_faults.py
+++ b/tests/platform/test_service_faults.py
@@ -2,7 +2,13 @@
 
 import asyncio
 
-from toucanlead_platform_standins.site import APP, configuration, route
+from toucanlead_platform_standins.site import (
+    APP,
+    ARCHIVES,
+    SERVICE_HOST,
+    configuration,
+    route,
+)
 
 from .fleet import ENTRY_1, ENTRY_2, ENTRY_3, on_fleet
 
@@ -99,3 +105,22 @@
         await asyncio.sleep(4.0)
         second = await caller.turn(ENTRY_2, previous=first.ident)
         assert second.whole
+
+    @on_fleet()
+    async def test_an_entry_cut_off_from_service_and_archives_serves_through_other_entries(
+        self, site, caller
+    ):
+        await site.until(lambda: len(site.entries['entry-1'].directory.entries) == 3)
+        for host in (SERVICE_HOST, *(vm.ip for vm in ARCHIVES)):
+            site.network.cut(ENTRY_1.ip, host)
+        await asyncio.sleep(4.0)
+        first = await caller.turn(ENTRY_1, b'one ')
+        second = await caller.turn(ENTRY_1, b'two ', previous=first.ident)
+        assert first.whole
+        assert second.whole
+        assert second.seconds < 1.0
+        third = await caller.turn(ENTRY_2, b'three ', previous=second.ident)
+        assert third.whole
+        site.configure(configuration(7, (EXTRA,)))
+        await asyncio.sleep(1.0)
+        assert (await caller.request(ENTRY_1, 'GET', '/extra/x')).whole
--- a/tests/platform/test_turns.py
+++ b/tests/platform/test_turns.py
@@ -5,7 +5,8 @@
 import pytest
 from attrs import define, field
 
-from toucanlead_archive.directory import ArchiveDirectory, ArchiveRecord
+from toucanlead_archive.directory import ArchiveRecord, PeerDirectory
+from toucanlead_core.codec import to_json
 from toucanlead_core.errors import Reason, Refusal
 from toucanlead_kv.kv import KeyValueStore, KvEntry, WatchEvent
 from toucanlead_peer.turns import ArchiveTransport, Chain, Stored, Turn
@@ -18,7 +19,7 @@
 
 
 def register(directory):
-    directory.apply([WatchEvent(RECORD.key, RECORD.value(), 7)])
+    directory.apply([WatchEvent(RECORD.key, to_json(RECORD), 7)])
 
 
 @define
@@ -83,16 +84,16 @@
         return caught.value.reason
 
     def test_a_turn_that_no_archive_holds_is_unknown(self):
-        directory = ArchiveDirectory()
+        directory = PeerDirectory()
         register(directory)
         assert self.refusal(turns_of(directory, SlowStore())) is Reason.UNKNOWN_TURN
 
     def test_without_archives_nothing_is_certain(self):
-        turns = turns_of(ArchiveDirectory(), SlowStore())
+        turns = turns_of(PeerDirectory(), SlowStore())
         assert self.refusal(turns) is Reason.HISTORY_UNAVAILABLE
 
     def test_archives_that_became_known_only_meanwhile_were_not_asked(self):
-        directory = ArchiveDirectory()
+        directory = PeerDirectory()
         store = SlowStore(lambda: register(directory))
         assert self.refusal(turns_of(directory, store)) is Reason.HISTORY_UNAVAILABLE
 
