A request counts as running from its first byte, also when its time runs out

Change: the request counts as running before it is sent; only a proof to the contrary takes that back.

--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -1,7 +1,7 @@
 """Forwarder: carries one request from its door to a replica and the answer back."""
 
 import asyncio
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, contextmanager
 
 import structlog
 from attrs import define, field
@@ -58,11 +58,25 @@
         """Return what can be said of the request if it ends now without an answer."""
         return Ran.UNKNOWN if self.may_have_run else Ran.NOT_RUN
 
-    def count_send(self, replica: Replica) -> None:
-        """Note that a replica has the request, or may have it."""
-        self.sends += 1
+    @contextmanager
+    def sending_to(self, replica: Replica):
+        """Count the request as running there, unless it proves not to have run.
+
+        From the first byte on it may run, also when the time for an answer runs out.
+        """
+        ran_before, asked_before = self.may_have_run, replica.ident in self.asked
+        self.replica = replica
         self.may_have_run = True
         self.asked.add(replica.ident)
+        self.sends += 1
+        try:
+            yield
+        except (NotSent, NotExecuted):
+            self.may_have_run = ran_before
+            self.sends -= 1
+            if not asked_before:
+                self.asked.discard(replica.ident)
+            raise
 
 
 class Forwarder:
@@ -295,22 +309,17 @@
         give_up_at = min(journey.limit_at, self._timers.now() + FULL_WAIT_S)
         while True:
             replica = self._place(journey)
-            journey.replica = replica
             entered = False
             try:
-                async with self._dispatch.sending(replica, call) as answer:
-                    entered = True
-                    journey.count_send(replica)
-                    yield answer
-                    return
+                with journey.sending_to(replica):
+                    async with self._dispatch.sending(replica, call) as answer:
+                        entered = True
+                        yield answer
+                        return
             except (NotSent, NotExecuted) as exc:
                 if entered:
                     raise
                 await self._not_taken(journey, replica, exc, give_up_at)
-            except OutcomeUnknown:
-                if not entered:
-                    journey.count_send(replica)
-                raise
 
     def _place(self, journey: Journey) -> Replica:
         service = journey.route.service_for(_split_key(journey.req))
