--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	$(BIN)/toucanlead faults --full
 
 fuzz: $(STAMP)
-	TOUCANLEAD_FUZZ=1 $(BIN)/python -m pytest tests/test_state.py
+	TOUCANLEAD_FUZZ=1 $(BIN)/python -m pytest tests/test_state.py tests/platform/test_budgets.py
 
 bench: $(STAMP)
 	$(BIN)/toucanlead bench
--- a/libs/core/toucanlead_core/process_settings.py
+++ b/libs/core/toucanlead_core/process_settings.py
@@ -26,11 +26,15 @@
 
 @frozen
 class ProcessSection:
-    """Where this process runs; `zones` below names each zone's region."""
+    """Where this process runs; `zones` below names each zone's region.
+
+    `first_start` says that the whole system starts for the first time.
+    """
 
     name: str
     zone: str
     region: str
+    first_start: bool = False
 
 
 @frozen
--- a/libs/kv/toucanlead_kv/follow.py
+++ b/libs/kv/toucanlead_kv/follow.py
@@ -16,7 +16,7 @@
 WAIT_S = 25.0  # the platform lets a watch wait for 30 s
 MIN_WAIT_S = 0.05
 RETRY_BASE_S = 0.1
-RETRY_LIMIT_S = 0.8  # lapsed entries are back within 2 s of the service's return
+RETRY_LIMIT_S = 2.0  # a watchdog says earlier when the service is back
 CHECKS_S = (1.0, 2.5)  # after a watch was cut, read everything again this much later
 PROBE_PERIOD_S = 1.0  # a stale read costs a tenth of a call
 PROBE_TIMEOUT_S = 0.9
@@ -79,12 +79,20 @@
             except (NotSent, OutcomeUnknown) as exc:
                 log.info('watch_failed', prefix=self._prefix, error=str(exc))
                 self._distrust()
-                await self._timers.sleep(delay_s * self._rng.uniform(0.5, 1.0))
+                await self._pause(delay_s * self._rng.uniform(0.5, 1.0))
                 delay_s = min(2 * delay_s, RETRY_LIMIT_S)
             except Exception as exc:  # what cannot be read now may be mended by the next change
                 log.error('watch_unreadable', prefix=self._prefix, error=repr(exc))
                 self._revision = None
-                await self._timers.sleep(RETRY_LIMIT_S)
+                await self._pause(RETRY_LIMIT_S)
+
+    async def _pause(self, delay_s: float) -> None:
+        """Wait before the next try, or until asked to begin again."""
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._renew.wait()
+        except TimeoutError:
+            return
 
     async def _read(self) -> None:
         snapshot = await self._store.snapshot(self._prefix)
--- a/libs/peer/toucanlead_peer/serving_grpc.py
+++ b/libs/peer/toucanlead_peer/serving_grpc.py
@@ -90,6 +90,10 @@
 
 class EscrowBase(abc.ABC):
 
+    @abc.abstractmethod
+    async def Holder(self, stream: 'grpclib.server.Stream[serving_pb2.HolderRequest, serving_pb2.HolderReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Borrow(self, stream: 'grpclib.server.Stream[serving_pb2.BorrowRequest, serving_pb2.BorrowReply]') -> None:
         pass
@@ -100,6 +104,12 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
+            '/toucanlead.Escrow/Holder': grpclib.const.Handler(
+                self.Holder,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                serving_pb2.HolderRequest,
+                serving_pb2.HolderReply,
+            ),
             '/toucanlead.Escrow/Borrow': grpclib.const.Handler(
                 self.Borrow,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -118,6 +128,12 @@
 class EscrowStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Holder = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/toucanlead.Escrow/Holder',
+            serving_pb2.HolderRequest,
+            serving_pb2.HolderReply,
+        )
         self.Borrow = grpclib.client.UnaryUnaryMethod(
             channel,
             '/toucanlead.Escrow/Borrow',
--- a/libs/peer/toucanlead_peer/serving_transport.py
+++ b/libs/peer/toucanlead_peer/serving_transport.py
@@ -12,6 +12,7 @@
     Chain,
     EscrowHandler,
     EscrowTransport,
+    Holder,
     Loan,
     RelayedCall,
     RelayedReply,
@@ -79,9 +80,11 @@
         """Take the channels that all calls to peers share."""
         self._channels = channels
 
-    async def borrow(self, address: str, program: str, tokens: int, timeout_s: float) -> Loan:
+    async def borrow(
+        self, address: str, program: str, tokens: int, budget: int, timeout_s: float
+    ) -> Loan:
         """Ask for tokens."""
-        message = serving_pb2.BorrowRequest(program=program, tokens=tokens)
+        message = serving_pb2.BorrowRequest(program=program, tokens=tokens, budget=budget)
 
         async def work(channel: Channel) -> Loan:
             reply = await serving_grpc.EscrowStub(channel).Borrow(message, timeout=timeout_s)
@@ -89,6 +92,16 @@
 
         return await self._channels.call(address, 'borrow', work, timeout_s)
 
+    async def holder(self, address: str, program: str, timeout_s: float) -> Holder:
+        """Ask which entry holds a grant."""
+        message = serving_pb2.HolderRequest(program=program)
+
+        async def work(channel: Channel) -> Holder:
+            reply = await serving_grpc.EscrowStub(channel).Holder(message, timeout=timeout_s)
+            return Holder(reply.holder, reply.complete)
+
+        return await self._channels.call(address, 'holder', work, timeout_s)
+
     async def repay(
         self, address: str, program: str, unused: int, used: int, timeout_s: float
     ) -> None:
@@ -159,10 +172,16 @@
 
     async def Borrow(self, stream: Stream) -> None:  # noqa: N802 - generated name
         message = await stream.recv_message()
-        loan = await self._handler.borrow(message.program, message.tokens)
+        loan = await self._handler.borrow(message.program, message.tokens, message.budget)
         reply = serving_pb2.BorrowReply(outcome=loan.outcome, tokens=loan.tokens)
         await stream.send_message(reply)
 
+    async def Holder(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        holder = await self._handler.holder(message.program)
+        reply = serving_pb2.HolderReply(holder=holder.address, complete=holder.complete)
+        await stream.send_message(reply)
+
     async def Repay(self, stream: Stream) -> None:  # noqa: N802 - generated name
         message = await stream.recv_message()
         await self._handler.repay(message.program, message.unused, message.used)
--- a/libs/peer/toucanlead_peer/turns.py
+++ b/libs/peer/toucanlead_peer/turns.py
@@ -85,24 +85,48 @@
 
 @frozen
 class Loan:
-    """An answer to a request for tokens: granted, busy, spent or unknown."""
+    """An answer to a request for tokens: granted, busy, spent or unknown.
+
+    The borrower adds unreachable for a lender that gave none.
+    """
 
     outcome: str
     tokens: int = 0
 
 
+@frozen
+class Holder:
+    """What an entry knows of a program: the holder's address, and whether it knows all.
+
+    An entry that has restarted may not know of grants that it took before.
+    """
+
+    address: str
+    complete: bool
+
+
 GRANTED = 'granted'
 BUSY = 'busy'
 SPENT = 'spent'
 UNKNOWN = 'unknown'
+UNREACHABLE = 'unreachable'
 
 
 class EscrowTransport(abc.ABC):
     """Calls to the entry that holds a program's grant; NotSent or OutcomeUnknown."""
 
     @abc.abstractmethod
-    async def borrow(self, address: str, program: str, tokens: int, timeout_s: float) -> Loan:
-        """Ask for tokens of a program's grant."""
+    async def borrow(
+        self, address: str, program: str, tokens: int, budget: int, timeout_s: float
+    ) -> Loan:
+        """Ask for tokens of a program's grant.
+
+        With a budget other than 0, the lender takes a grant if it holds none.
+        """
+
+    @abc.abstractmethod
+    async def holder(self, address: str, program: str, timeout_s: float) -> Holder:
+        """Ask which entry holds a program's grant."""
 
     @abc.abstractmethod
     async def repay(
@@ -115,8 +139,12 @@
     """The serving side at an entry."""
 
     @abc.abstractmethod
-    async def borrow(self, program: str, tokens: int) -> Loan:
-        """Lend tokens out of a grant held here."""
+    async def borrow(self, program: str, tokens: int, budget: int) -> Loan:
+        """Lend tokens out of a grant held here, or taken for this where a budget is named."""
+
+    @abc.abstractmethod
+    async def holder(self, program: str) -> Holder:
+        """Say which entry holds a program's grant, as far as is known here."""
 
     @abc.abstractmethod
     async def repay(self, program: str, unused: int, used: int) -> None:
--- a/libs/serving/toucanlead_serving/allowance.py
+++ b/libs/serving/toucanlead_serving/allowance.py
@@ -1,15 +1,56 @@
 """Allowance: the tokens of one program that this entry may hand out.
 
-Every token comes out of a grant that the key-value service has recorded, so the sum
-over all entries stays within the budget whatever fails. A grant whose entry was lost
-counts as spent.
+Every token comes out of a grant. Grants are recorded in the key-value service, so the
+sum over all entries stays within the budget whatever fails; one whose entry was lost
+counts as spent. While the service is away a grant may be a debt, recorded later.
 """
 
-from attrs import define
+from attrs import define, frozen
 
 FIRST_GRANT_TURNS = 2  # so that a program may begin with two turns at once
 GRANT_SHARE = 0.5  # of what is left; the rest outlives the loss of this entry
 LOAN_LIFE_S = 20.0  # longer than any turn and its settlement
+LEAST_SHARE = 1.5  # of the expected output, below which a turn is not begun on what is left
+EXPECTED_SHARE = 0.25  # of a turn's most, where its caller does not say what it expects
+SHARES_KEPT = 4  # of the latest grants in a record; programs rarely meet more entries
+
+
+@frozen
+class Share:
+    """One grant in a record: the entry that took it, and a text that is only its own."""
+
+    holder: str
+    nonce: str
+
+
+@frozen
+class BudgetRecord:
+    """What the service records of a program's budget, in tokens; the latest shares go last."""
+
+    budget: int
+    granted: int
+    shares: tuple[Share, ...] = ()
+
+    def with_share(self, tokens: int, share: Share) -> 'BudgetRecord':
+        """Return the record with one more grant."""
+        shares = (*self.shares, share)[-SHARES_KEPT:]
+        return BudgetRecord(self.budget, self.granted + tokens, shares)
+
+
+@frozen
+class PendingGrant:
+    """A write whose answer never came: it may still take effect, or have done so.
+
+    `tokens` is by how much it raises the record on behalf of this entry.
+    """
+
+    record: BudgetRecord
+    tokens: int
+
+    @property
+    def share(self) -> Share:
+        """Return the share that it adds."""
+        return self.record.shares[-1]
 
 
 @define
@@ -17,23 +58,33 @@
     """One program's tokens at this entry.
 
     `granted` counts grants and loans received less what was given back, `lent` what
-    peers have borrowed and not given back, `recorded` what the service's record
-    says that all entries together have been granted.
+    peers have borrowed and not given back, `record` what the service was last heard to
+    hold, at `revision`; `debt` is what is granted here and not recorded yet. `own` says
+    that a grant was taken here, `lender` from whom tokens were borrowed last, `short`
+    that no more can be had for now.
     """
 
     program: str
-    budget: int
+    record: BudgetRecord
+    revision: int = 0
     granted: int = 0
     spent: int = 0
     reserved: int = 0
     lent: int = 0
-    recorded: int = 0
-    revision: int = 0
-    holder: str = ''
+    debt: int = 0
+    pending: PendingGrant | None = None
+    own: bool = False
+    lender: str = ''
+    short: bool = False
     lent_at: float = 0.0
     unreported: int = 0
     used_at: float = 0.0
 
+    @property
+    def budget(self) -> int:
+        """Return the tokens that all the program's turns may generate."""
+        return self.record.budget
+
     @property
     def available(self) -> int:
         """Return what may be reserved now."""
@@ -42,19 +93,38 @@
     @property
     def unrecorded(self) -> int:
         """Return what no entry has been granted yet, as far as is known."""
-        return max(0, self.budget - self.recorded)
+        return max(0, self.budget - self.record.granted - self.debt)
+
+    @property
+    def holds_grant(self) -> bool:
+        """Say whether a grant was taken here, or may have been."""
+        return self.own or self.pending is not None
 
     @property
     def in_progress(self) -> bool:
         """Say whether turns or loans may still give tokens back."""
         return self.reserved > 0 or self.lent > 0
 
-    def reserve(self, tokens: int) -> bool:
-        """Set tokens aside for a turn; say whether there were enough."""
-        if self.available < tokens:
-            return False
-        self.reserved += tokens
-        return True
+    def lenders(self, own_address: str) -> list[str]:
+        """Return the other entries that may have tokens to lend, the likeliest first."""
+        holders = [share.holder for share in reversed(self.record.shares)]
+        known = [self.lender, *holders] if self.lender else holders
+        return [holder for holder in dict.fromkeys(known) if holder != own_address]
+
+    def reserve(self, tokens: int, expected: int | None = None) -> int:
+        """Set tokens aside for a turn and return how many, 0 when there are too few.
+
+        When no more can be had, a turn may begin on less than its most, if what is
+        left well exceeds what it is expected to use.
+        """
+        if expected is None:
+            expected = int(EXPECTED_SHARE * tokens)
+        amount = tokens if self.available >= tokens else 0
+        if not amount and (self.debt or self.short):
+            enough = self.available >= LEAST_SHARE * expected
+            amount = self.available if enough and self.available > 0 else 0
+        self.reserved += amount
+        return amount
 
     def settle(self, reserved: int, used: int) -> None:
         """End a turn that handed out `used` tokens."""
@@ -62,13 +132,14 @@
         self.spent += used
         self.unreported += used
 
-    def lend(self, tokens: int, now: float) -> bool:
-        """Lend tokens to a peer; say whether there were enough."""
-        if self.available < tokens:
-            return False
-        self.lent += tokens
+    def lend(self, tokens: int, now: float) -> int:
+        """Lend tokens to a peer and return how many; on debt also fewer than asked for."""
+        amount = min(tokens, self.available) if self.debt else tokens
+        if self.available < amount or amount <= 0:
+            return 0
+        self.lent += amount
         self.lent_at = now
-        return True
+        return amount
 
     def repaid(self, unused: int, used: int) -> None:
         """Take back what a peer did not use, and count as spent what it did."""
@@ -81,9 +152,11 @@
             self.spent += self.lent
             self.lent = 0
 
-    def borrowed(self, tokens: int) -> None:
-        """Take a loan from the entry that holds the grant."""
+    def borrow(self, tokens: int, asked: int, lender: str) -> None:
+        """Take a loan."""
         self.granted += tokens
+        self.short = tokens < asked
+        self.lender = lender
 
     def repay(self) -> tuple[int, int]:
         """Return (unused, used) since the last time, and take the unused out."""
@@ -99,13 +172,44 @@
         )
         if self.unrecorded - wanted < tokens:
             wanted = self.unrecorded  # a remainder that no turn could use is of no use
-        return min(wanted, self.unrecorded)
+        return max(0, min(wanted, self.unrecorded))
+
+    def write_pending(self, tokens: int, share: Share) -> PendingGrant:
+        """Return the write that asks for tokens and records any debt.
+
+        One whose answer never came is made again as it was: its condition lets only
+        one take effect.
+        """
+        if self.pending is None:
+            raised = (self.next_grant(tokens) if tokens else 0) + self.debt
+            self.pending = PendingGrant(self.record.with_share(raised, share), raised)
+        return self.pending
+
+    def pending_took_effect(self, revision: int) -> None:
+        """Take the grant of the pending write; debts made before or since are covered by it."""
+        covered = min(self.debt, self.pending.tokens)
+        self.debt -= covered
+        self.granted += self.pending.tokens - covered
+        self.record = self.pending.record
+        self.revision = revision
+        self.own = True
+        self.short = False
+        self.pending = None
+
+    def learn(self, record: BudgetRecord, revision: int) -> None:
+        """Take what the service holds in place of what was expected."""
+        pending = self.pending
+        if pending is not None and pending.share in record.shares:
+            self.pending_took_effect(revision)
+        self.pending = None
+        self.record = record
+        self.revision = revision
 
-    def grant(self, tokens: int, recorded: int, revision: int) -> None:
-        """Take a grant that the service has recorded."""
+    def grant_on_debt(self, tokens: int) -> None:
+        """Take a grant that the service cannot record now."""
         self.granted += tokens
-        self.recorded = recorded
-        self.revision = revision
+        self.debt += tokens
+        self.own = True
 
     def give_back(self) -> int:
         """Return what is unused and take it out of the allowance."""
--- a/libs/serving/toucanlead_serving/budgets.py
+++ b/libs/serving/toucanlead_serving/budgets.py
@@ -1,57 +1,53 @@
-"""Budgets: reserves each turn's tokens out of grants recorded in the key-value service.
+"""Budgets: reserves each turn's tokens out of grants.
 
-The first entry that a program's turn reaches takes a grant and is its holder. Another
-entry borrows from the holder, turn by turn, and takes a grant of its own only when the
-holder cannot be reached. No entry owns a program; the record only says whom to ask.
+The first entry that a program's turn reaches takes a grant. Another entry borrows from
+those that took one, turn by turn, and takes a grant of its own only when none of them
+can help. No entry owns a program; the record only says whom to ask.
+
+While the key-value service cannot be reached, one entry of the region, chosen by the
+program's id, grants on debt, once: one turn's most, by which a budget may be overdrawn
+at worst, or an ordinary grant when it is certain that no entry knows of the program.
 """
 
 import asyncio
-import hashlib
 from collections.abc import Callable
 
 import structlog
-from attrs import define, field, frozen
+from attrs import define, field
 
-from toucanlead_core.codec import from_json, to_json
 from toucanlead_core.errors import NotSent, OutcomeUnknown, Reason, Refusal, Step
+from toucanlead_core.ids import rendezvous
 from toucanlead_core.timers import Timers
-from toucanlead_kv.kv import Compare, KeyValueStore, KvEntry, Put
 from toucanlead_peer.turns import (
     BUSY,
     GRANTED,
     SPENT,
     UNKNOWN,
+    UNREACHABLE,
     EscrowHandler,
     EscrowTransport,
+    Holder,
     Loan,
 )
 
-from .allowance import Allowance
+from .allowance import Allowance, BudgetRecord
+from .debts import DebtBook
+from .grants import Grants, Taken
 
 log = structlog.get_logger()
 
-BUDGET_PREFIX = 'toucanlead/budgets/'
 BORROW_TIMEOUT_S = 0.25  # a round trip between regions and a retransmission
+BORROW_GRANT_TIMEOUT_S = 1.6  # the lender asks the service and its own peers first
+HOLDER_TIMEOUT_S = 0.15
 BUSY_WAIT_S = 0.6  # turns in progress give back what they did not use within this, mostly
+QUICK_STEPS = 4  # a lost lender, the service, another lender: one after the other at once
 RETRY_DELAY_S = 0.05
 RETRY_DELAY_LIMIT_S = 0.4
 BUDGET_RETRY_AFTER_MS = 500  # the service's short outages end within this
-MAX_KEY_CHARS = 120
-SETTLE_BATCH = 30  # the service takes 32 rows in a transaction
 IDLE_S = 300.0  # a program that has been idle for so long has mostly ended
-
-
-@frozen
-class BudgetRecord:
-    """What the service records of a program's budget, in tokens.
-
-    `nonce` tells an entry whose write got no answer whether the record is its own.
-    """
-
-    budget: int
-    granted: int
-    holder: str
-    nonce: str
+DEBT_CHECK_S = 0.5
+TROUBLE_S = 30.0  # so long after trouble with the service, others may have granted on debt
+NOTICED_S = 2.0  # an outage of this length has been noticed by every entry
 
 
 @define(eq=False)
@@ -76,41 +72,69 @@
     changed: asyncio.Event = field(factory=asyncio.Event)
 
 
+@define(eq=False)
+class _Quest:
+    """One search for tokens: whom it has asked in vain, and who could not be reached."""
+
+    allowance: Allowance
+    tokens: int
+    patient: bool = True
+    alone: bool = False
+    refused: set[str] = field(factory=set)
+    lost: bool = False
+
+    @property
+    def missing(self) -> int:
+        """Return how many tokens are still to be found."""
+        return self.tokens - self.allowance.available
+
+
 class Budgets(EscrowHandler):
     """All programs' tokens at this entry."""
 
     def __init__(
         self,
-        store: KeyValueStore,
+        grants: Grants,
+        debts: DebtBook,
         peers: EscrowTransport,
         timers: Timers,
         address: str,
-        nonce: Callable[[], str],
+        entries: Callable[[], list[str]],
+        knows_all_since: float | None = None,
     ) -> None:
-        """Take the service, the peers, and the address at which peers find this entry."""
-        self._store = store
+        """Take the parts, this entry's address, and what names the region's entries.
+
+        `knows_all_since` is None for an entry of a system that starts for the first
+        time; one that has restarted knows all grants only after `IDLE_S`.
+        """
+        self._grants = grants
+        self._debts = debts
         self._peers = peers
         self._timers = timers
         self._address = address
-        self._nonce = nonce
+        self._entries = entries
+        self._knows_all_since = knows_all_since
+        self._started_at = timers.now()
         self._programs: dict[str, _Program] = {}
         self._repaying: set[asyncio.Task] = set()
-        self.store_calls = 0
 
     async def reserve(
-        self, program: str, budget: int, tokens: int, deadline_at: float
+        self,
+        program: str,
+        budget: int,
+        tokens: int,
+        deadline_at: float,
+        expected: int | None = None,
     ) -> Reservation:
         """Set a turn's tokens aside; Refusal when they are spent or cannot be had in time."""
-        entry = self._programs.get(program)
-        if entry is None:
-            entry = self._programs[program] = _Program(Allowance(program, budget))
+        entry = self._entry(program, budget)
         allowance = entry.allowance
         allowance.used_at = self._timers.now()
-        while not allowance.reserve(tokens):
+        while not (amount := allowance.reserve(tokens, expected)):
             async with entry.lock:
                 if allowance.available < tokens:
-                    await self._obtain(entry, tokens, deadline_at)
-        return Reservation(allowance, tokens)
+                    await self._obtain(entry, _Quest(allowance, tokens), deadline_at)
+        return Reservation(allowance, amount)
 
     def settle(self, reservation: Reservation) -> None:
         """End a turn's reservation; what it did not use may be reserved again."""
@@ -121,28 +145,31 @@
         allowance.settle(reservation.tokens, reservation.used)
         allowance.used_at = self._timers.now()
         self._wake(allowance.program)
-        if allowance.holder not in ('', self._address) and not allowance.reserved:
+        if allowance.lender and not allowance.own and not allowance.reserved:
             self._repay_later(allowance)
 
-    async def borrow(self, program: str, tokens: int) -> Loan:
-        """Lend tokens of a grant held here."""
+    async def borrow(self, program: str, tokens: int, budget: int) -> Loan:
+        """Lend tokens of a grant held here, or taken for this where a budget is named."""
         entry = self._programs.get(program)
-        if entry is None or entry.allowance.holder != self._address:
-            return Loan(UNKNOWN)
+        if entry is None or not entry.allowance.holds_grant:
+            if not budget:
+                return Loan(UNKNOWN)
+            entry = self._entry(program, budget)
         allowance = entry.allowance
         now = self._timers.now()
         allowance.used_at = now
         allowance.write_off_loans(now)
-        if not allowance.lend(tokens, now):
+        lent = allowance.lend(tokens, now)
+        if not lent:
+            quest = _Quest(allowance, tokens, patient=not budget, alone=not budget)
             try:
                 async with entry.lock:
-                    await self._obtain(entry, tokens, now + BUSY_WAIT_S)
+                    await self._obtain(entry, quest, now + BUSY_WAIT_S)
             except Refusal as refusal:
                 spent = refusal.reason is Reason.BUDGET_EXHAUSTED
                 return Loan(SPENT if spent else BUSY)
-            if not allowance.lend(tokens, self._timers.now()):
-                return Loan(BUSY)
-        return Loan(GRANTED, tokens)
+            lent = allowance.lend(tokens, self._timers.now())
+        return Loan(GRANTED, lent) if lent else Loan(BUSY)
 
     async def repay(self, program: str, unused: int, used: int) -> None:
         """Take back what a peer did not use."""
@@ -151,123 +178,206 @@
             entry.allowance.repaid(unused, used)
             self._wake(program)
 
+    async def holder(self, program: str) -> Holder:
+        """Say which entry holds a program's grant, as far as is known here."""
+        entry = self._programs.get(program)
+        if entry is None:
+            return Holder('', self._knows_all())
+        allowance = entry.allowance
+        if allowance.own:
+            return Holder(self._address, self._knows_all())
+        lenders = allowance.lenders(self._address)
+        is_complete = self._knows_all() and allowance.pending is None
+        return Holder(lenders[0] if lenders else '', is_complete)
+
     async def give_back_all(self) -> None:
         """Record that grants held here were not used, so that other entries may use them."""
-        held = [
-            e.allowance
-            for e in self._programs.values()
-            if e.allowance.holder == self._address and e.allowance.available > 0
-        ]
-        for start in range(0, len(held), SETTLE_BATCH):
-            await self._give_back(held[start : start + SETTLE_BATCH])
+        allowances = [entry.allowance for entry in self._programs.values()]
+        await self._grants.give_back(
+            [a for a in allowances if a.own and a.available > 0 and not a.debt and a.revision]
+        )
+
+    async def record_debts(self) -> None:
+        """Record grants on debt, again and again until cancelled."""
+        while True:
+            await self._timers.sleep(DEBT_CHECK_S)
+            for entry in list(self._programs.values()):
+                if entry.allowance.debt and not entry.lock.locked():
+                    async with entry.lock:
+                        taken = await self._grants.take(entry.allowance, 0)
+                    if taken is Taken.NO_ANSWER:
+                        break
 
     def forget_idle(self) -> None:
         """Forget programs that have been idle for long; their grants count as spent."""
         now = self._timers.now()
         for program, entry in list(self._programs.items()):
             allowance = entry.allowance
-            idle = now - allowance.used_at > IDLE_S
+            idle = now - allowance.used_at > IDLE_S and not allowance.debt
             if idle and not allowance.in_progress and not entry.lock.locked():
                 del self._programs[program]
 
-    async def _obtain(self, entry: _Program, tokens: int, deadline_at: float) -> None:
-        """Get more tokens into an allowance, from the holder or from the service."""
+    def _entry(self, program: str, budget: int) -> _Program:
+        entry = self._programs.get(program)
+        if entry is None:
+            entry = _Program(Allowance(program, BudgetRecord(budget, 0)))
+            self._programs[program] = entry
+        return entry
+
+    async def _obtain(self, entry: _Program, quest: _Quest, deadline_at: float) -> None:
+        """Get more tokens into an allowance; returns when some more may be reserved."""
         allowance = entry.allowance
+        quick_steps = QUICK_STEPS
         delay_s = RETRY_DELAY_S
-        while allowance.available < tokens:
-            if allowance.holder not in ('', self._address):
-                loan = await self._ask_holder(allowance, tokens)
-                if loan.outcome == GRANTED:
-                    allowance.borrowed(loan.tokens)
-                    return
-                if loan.outcome == SPENT:
-                    raise _spent(allowance)
-                if loan.outcome == UNKNOWN:
-                    allowance.holder = ''
-                    continue
-            elif allowance.unrecorded > 0:
-                if await self._take_grant(allowance, tokens):
-                    continue
-            elif not allowance.in_progress:
-                raise _spent(allowance)
-            if allowance.unrecorded == 0 or allowance.holder not in ('', self._address):
-                if await self._changed(entry, min(deadline_at, self._timers.now() + BUSY_WAIT_S)):
-                    continue
-                raise _unavailable('turns in progress hold the rest of the budget')
-            if self._timers.now() + delay_s > deadline_at:
-                raise _unavailable('the key-value service does not answer')
-            await self._timers.sleep(delay_s)
+        while quest.missing > 0:
+            before = allowance.available
+            why = await self._step(quest)
+            if allowance.available > before:
+                return
+            quick_steps -= 1
+            if quick_steps > 0:
+                continue
+            until = min(deadline_at, self._timers.now() + delay_s)
+            if until >= deadline_at:
+                raise _unavailable(why)
+            await self._changed(entry, until)
+            quest.refused.clear()
             delay_s = min(2 * delay_s, RETRY_DELAY_LIMIT_S)
 
-    async def _ask_holder(self, allowance: Allowance, tokens: int) -> Loan:
-        holder = allowance.holder
+    async def _step(self, quest: _Quest) -> str:
+        """Do the next thing that may bring tokens; return why there may be none."""
+        allowance = quest.allowance
+        if allowance.pending is not None and not quest.alone:
+            taken = await self._grants.take(allowance, quest.tokens, patient=quest.patient)
+            if taken is not Taken.NO_ANSWER:
+                return 'a grant without an answer has been cleared up'
+        lender = self._next_lender(quest)
+        if lender and not allowance.own:
+            return await self._ask(quest, lender)
+        if allowance.unrecorded > 0 or allowance.pending is not None:
+            return await self._ask_service(quest)
+        if lender:
+            return await self._ask(quest, lender)
+        if quest.lost:
+            raise _unavailable('an entry that holds a grant cannot be reached')
+        if not allowance.in_progress:
+            raise _spent(allowance)
+        return 'turns in progress hold the rest of the budget'
+
+    def _next_lender(self, quest: _Quest) -> str:
+        if quest.alone:
+            return ''
+        lenders = quest.allowance.lenders(self._address)
+        return next((lender for lender in lenders if lender not in quest.refused), '')
+
+    async def _ask(self, quest: _Quest, lender: str) -> str:
+        """Borrow from another entry; one that has nothing is not asked again."""
+        asked = quest.missing
+        loan = await self._borrow(quest.allowance, lender, asked, 0, BORROW_TIMEOUT_S)
+        if loan.outcome == GRANTED:
+            quest.allowance.borrow(loan.tokens, asked, lender)
+        elif loan.outcome != BUSY:
+            quest.refused.add(lender)
+            quest.lost = quest.lost or loan.outcome == UNREACHABLE
+        return f'the grant is held at {lender}: {loan.outcome}'
+
+    async def _ask_service(self, quest: _Quest) -> str:
+        allowance = quest.allowance
+        if not allowance.revision and await self._debt_elsewhere(allowance):
+            raise _unavailable('a grant on debt is not recorded yet')
+        taken = await self._grants.take(allowance, quest.tokens, patient=quest.patient)
+        if taken is Taken.NO_ANSWER:
+            await self._without_service(quest)
+        return 'the key-value service does not answer'
+
+    async def _debt_elsewhere(self, allowance: Allowance) -> bool:
+        """Say whether another entry may have a debt that no record shows yet."""
+        troubled_at = self._grants.troubled_at
+        recent = self._started_at if troubled_at is None else max(troubled_at, self._started_at)
+        knows = self._knows_all_since is None and troubled_at is None
+        if allowance.debt or knows or self._timers.now() - recent > TROUBLE_S:
+            return False
+        if self._grants.away_since is not None:
+            return False  # whether to grant on debt is decided elsewhere
+        return await self._debts.exists(allowance.program)
+
+    async def _without_service(self, quest: _Quest) -> None:
+        """Get tokens for a program that is new here while the service cannot be reached."""
+        allowance = quest.allowance
+        if allowance.revision or allowance.debt:
+            return
+        others = [address for address in self._entries() if address != self._address]
+        granter = rendezvous(allowance.program, [self._address, *others])[0]
+        if granter == self._address:
+            await self._grant_on_debt(quest, others)
+            return
+        asked = quest.missing
+        loan = await self._borrow(
+            allowance, granter, asked, allowance.budget, BORROW_GRANT_TIMEOUT_S
+        )
+        if loan.outcome == GRANTED:
+            allowance.borrow(loan.tokens, asked, granter)
+
+    async def _grant_on_debt(self, quest: _Quest, others: list[str]) -> None:
+        """Grant tokens that the service will be told of later; once for a program."""
+        allowance = quest.allowance
+        replies = await asyncio.gather(*(self._holder_at(o, allowance.program) for o in others))
+        known = next((r.address for r in replies if r is not None and r.address), '')
+        if known not in ('', self._address):
+            allowance.lender = known
+            return
+        if not await self._debts.enter(allowance.program):
+            return
+        away_s = self._timers.now() - (self._grants.away_since or self._timers.now())
+        is_new = (
+            away_s >= NOTICED_S
+            and self._knows_all()
+            and all(r is not None and r.complete for r in replies)
+        )
+        most = min(quest.tokens, allowance.budget)
+        amount = allowance.next_grant(quest.tokens) if is_new else most
+        allowance.grant_on_debt(amount)
+        log.warning(
+            'budget_granted_on_debt',
+            program=allowance.program,
+            tokens=amount,
+            budget=allowance.budget,
+            asked=len(others),
+            is_new=is_new,
+            away_ms=round(1e3 * away_s),
+        )
+
+    async def _borrow(
+        self, allowance: Allowance, peer: str, tokens: int, budget: int, timeout_s: float
+    ) -> Loan:
+        try:
+            return await self._peers.borrow(peer, allowance.program, tokens, budget, timeout_s)
+        except NotSent as exc:
+            log.info('borrow_failed', program=allowance.program, peer=peer, error=str(exc))
+            return Loan(UNREACHABLE)
+        except OutcomeUnknown as exc:
+            log.info('borrow_unanswered', program=allowance.program, peer=peer, error=str(exc))
+            return Loan(BUSY)
+
+    async def _holder_at(self, peer: str, program: str) -> Holder | None:
         try:
-            return await self._peers.borrow(holder, allowance.program, tokens, BORROW_TIMEOUT_S)
+            return await self._peers.holder(peer, program, HOLDER_TIMEOUT_S)
         except (NotSent, OutcomeUnknown) as exc:
-            log.info('borrow_failed', program=allowance.program, peer=holder, error=str(exc))
-            return Loan(UNKNOWN)
-
-    async def _take_grant(self, allowance: Allowance, tokens: int) -> bool:
-        """Ask the service for a grant once; say whether anything was learnt."""
-        amount = allowance.next_grant(tokens)
-        record = BudgetRecord(
-            allowance.budget, allowance.recorded + amount, self._address, self._nonce()
-        )
-        key = budget_key(allowance.program)
-        compare = Compare(key, allowance.revision)
-        uncertain = False
-        while True:
-            self.store_calls += 1
-            try:
-                result = await self._store.txn([compare], [Put(key, to_json(record))])
-                break
-            except OutcomeUnknown:
-                if uncertain:
-                    return False
-                uncertain = True  # the same write again: its condition lets only one take effect
-            except NotSent:
-                return False
-        if result.succeeded:
-            allowance.grant(amount, record.granted, result.revision)
-            allowance.holder = self._address
-            log.info(
-                'budget_granted',
-                program=allowance.program,
-                tokens=amount,
-                recorded=record.granted,
-                budget=record.budget,
-                revision=result.revision,
-            )
-            return True
-        return self._learn(allowance, key, result.current, record.nonce, amount)
-
-    def _learn(
-        self, allowance: Allowance, key: str, current: list[KvEntry], nonce: str, amount: int
-    ) -> bool:
-        """Take what the service holds in place of what was expected."""
-        found = next((e for e in current if e.key == key), None)
-        if found is None:
-            allowance.recorded, allowance.revision = 0, 0
-            return True
-        record = read_record(found)
-        allowance.revision = found.mod_rev
-        allowance.recorded = record.granted
-        if record.nonce == nonce:  # an earlier try took effect although its answer was lost
-            allowance.grant(amount, record.granted, found.mod_rev)
-            allowance.holder = self._address
-        elif record.holder != self._address:
-            allowance.holder = record.holder
-        return True
-
-    async def _changed(self, entry: _Program, until: float) -> bool:
-        """Wait until tokens were given back; say whether some were."""
+            log.info('holder_not_asked', program=program, peer=peer, error=str(exc))
+            return None
+
+    def _knows_all(self) -> bool:
+        since = self._knows_all_since
+        return since is None or self._timers.now() - since >= IDLE_S
+
+    async def _changed(self, entry: _Program, until: float) -> None:
+        """Wait until tokens were given back, or until a time."""
         entry.changed.clear()
         try:
             async with asyncio.timeout(max(0.0, until - self._timers.now())):
                 await entry.changed.wait()
         except TimeoutError:
-            return False
-        return True
+            return
 
     def _wake(self, program: str) -> None:
         entry = self._programs.get(program)
@@ -284,49 +394,14 @@
     async def _repay(self, allowance: Allowance, unused: int, used: int) -> None:
         try:
             await self._peers.repay(
-                allowance.holder, allowance.program, unused, used, BORROW_TIMEOUT_S
+                allowance.lender, allowance.program, unused, used, BORROW_TIMEOUT_S
             )
         except (NotSent, OutcomeUnknown) as exc:
             log.info('repay_failed', program=allowance.program, unused=unused, error=str(exc))
 
-    async def _give_back(self, allowances: list[Allowance]) -> None:
-        compares, puts = [], []
-        for allowance in allowances:
-            unused = allowance.give_back()
-            allowance.recorded -= unused
-            key = budget_key(allowance.program)
-            record = BudgetRecord(allowance.budget, allowance.recorded, '', self._nonce())
-            compares.append(Compare(key, allowance.revision))
-            puts.append(Put(key, to_json(record)))
-        self.store_calls += 1
-        try:
-            result = await self._store.txn(compares, puts)
-        except (NotSent, OutcomeUnknown) as exc:
-            log.warning('give_back_failed', programs=len(allowances), error=str(exc))
-            return
-        if not result.succeeded:
-            log.warning('give_back_refused', programs=len(allowances))
-
-
-def budget_key(program: str) -> str:
-    """Return the key of a program's record; unusual ids are hashed."""
-    if len(program) <= MAX_KEY_CHARS and program.isascii() and program.isalnum():
-        return BUDGET_PREFIX + program
-    digest = hashlib.blake2b(program.encode('utf-8', 'surrogateescape'), digest_size=16)
-    return f'{BUDGET_PREFIX}h-{digest.hexdigest()}'
-
-
-def read_record(entry: KvEntry) -> BudgetRecord:
-    """Return a record; one that cannot be read leaves nothing to spend."""
-    try:
-        return from_json(entry.value, BudgetRecord)
-    except ValueError as exc:
-        log.error('budget_record_unreadable', key=entry.key, error=str(exc))
-        return BudgetRecord(0, 1 << 62, '', '')
-
 
 def _spent(allowance: Allowance) -> Refusal:
-    detail = f'{allowance.program}: {allowance.recorded} of {allowance.budget} tokens granted'
+    detail = f'{allowance.program}: {allowance.record.granted} of {allowance.budget} granted'
     return Refusal(Reason.BUDGET_EXHAUSTED, detail, step=Step.RESERVE)
 
 
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -29,8 +29,10 @@
 
 from .adapter import Adapter, Followed
 from .budgets import Budgets
+from .debts import ArchivedDebts
 from .dispatch import Dispatch
 from .forwarder import Forwarder
+from .grants import Grants
 from .metrics import ServingMetrics
 from .registry import Registry
 from .reload import SettingsReload
@@ -60,13 +62,6 @@
         self.registry = Registry(settings.zones)
         self.directory = PeerDirectory()
         self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers)
-        self.budgets = Budgets(
-            self._store,
-            GrpcEscrow(self._channels),
-            self._timers,
-            settings.listen.peers,
-            lambda: random_id(rng),
-        )
         self.turns = Turns(
             self.directory,
             GrpcArchives(self._channels),
@@ -76,6 +71,16 @@
             place.region,
             settings.tolerance.vms + 1,
         )
+        address = settings.listen.peers
+        self.budgets = Budgets(
+            Grants(self._store, self._timers, address, lambda: random_id(rng)),
+            ArchivedDebts(self.turns),
+            GrpcEscrow(self._channels),
+            self._timers,
+            address,
+            self._region_entries,
+            None if place.first_start else self._timers.now(),
+        )
         self._client = adapter.replicas(self._timers, place.region)
         self.dispatch = Dispatch(
             self.registry,
@@ -115,10 +120,17 @@
             self._watchdog.watch_over(follower)
             self._tasks.spawn(follower.run(), 'follow')
         self._tasks.spawn(self._watchdog.run(), 'watchdog')
+        self._tasks.spawn(self.budgets.record_debts(), 'debts')
         self._tasks.spawn(self._upkeep(), 'upkeep')
         await self._door.start()
         log.info('entry_started', name=self.settings.process.name)
 
+    def _region_entries(self) -> list[str]:
+        """Return the addresses of this region's entries."""
+        region = self.settings.process.region
+        entries = self.directory.entries.values()
+        return [entry.address for entry in entries if entry.region == region]
+
     def _relay_peers(self) -> list[str]:
         """Return addresses of processes that can make calls to the key-value service for us."""
         return self.directory.relays(self.settings)
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -253,7 +253,11 @@
         if program is None or program.budget is None or generation is None:
             return
         journey.reservation = await self._budgets.reserve(
-            program.program, program.budget, generation.max_tokens, journey.limit_at
+            program.program,
+            program.budget,
+            generation.max_tokens,
+            journey.limit_at,
+            generation.expected_tokens,
         )
 
     async def _pass_whole(self, answer: ReplicaAnswer, sink: AnswerSink) -> None:
--- a/libs/serving/toucanlead_serving/turns.py
+++ b/libs/serving/toucanlead_serving/turns.py
@@ -112,6 +112,23 @@
             ms=round(1e3 * (self._timers.now() - began_at), 1),
         )
 
+    async def note_once(self, ident: str, key: str, keep_s: float) -> bool:
+        """Write a note under an id that nobody has used; say whether it is new and durable.
+
+        Notes are kept on as many disks as turns. When so many archives do not answer
+        that they may hold an earlier note, it does not count as new.
+        """
+        found, asked, unanswered = await self._ask_archives(ident, key)
+        if found is not None or not asked or unanswered >= self.copies:
+            return False
+        disks = await self._put_on_disks(Turn(ident, '', b'', b'', keep_s), key)
+        return len(disks) >= self.copies
+
+    async def noted(self, ident: str, key: str) -> bool:
+        """Say whether a note has been written, as far as the archives answer."""
+        found, _, _ = await self._ask_archives(ident, key)
+        return found is not None
+
     async def _put_on_disks(self, turn: Turn, program: str) -> list[str]:
         """Write copies, in parallel, to as many archives as needed; return their disks."""
         waiting = [archive for archive in self._writers(program) if self._may_try(archive)]
@@ -159,17 +176,39 @@
 
     async def _find(self, ident: str, program: str) -> Turn:
         """Ask the archives, then the service; Refusal when the turn is not found."""
-        unanswered = False
+        turn, asked, unanswered = await self._ask_archives(ident, program)
+        if turn is None:
+            turn = await self._find_in_service(ident)
+        if turn is not None:
+            return turn
+        all_asked = bool(asked) and self._directory.disks() <= {a.disk for a in asked}
+        log.warning(
+            'turn_not_found',
+            turn=ident,
+            asked=len(asked),
+            directory_version=self._directory.version,
+            all_asked=all_asked,
+            unanswered=unanswered,
+        )
+        if unanswered or not all_asked:
+            raise _uncertain(f'{ident}: not every archive answered')
+        raise Refusal(Reason.UNKNOWN_TURN, ident, step=Step.ORDER)
+
+    async def _ask_archives(
+        self, ident: str, program: str
+    ) -> tuple[Turn | None, list[ArchiveRecord], int]:
+        """Return a turn, the archives that were to be asked, and how many did not answer."""
+        unanswered = 0
         asked = self._readers(program)
         for archive in asked:
             if not self._may_try(archive):
-                unanswered = True
+                unanswered += 1
                 continue
             try:
                 chain = await self._archives.fetch(archive.address, ident, [], FETCH_TIMEOUT_S)
             except (NotSent, OutcomeUnknown) as exc:
                 self._failed(archive, exc)
-                unanswered = True
+                unanswered += 1
                 continue
             for turn in chain.turns:
                 self.memory.put(turn)
@@ -177,22 +216,8 @@
                 log.info(
                     'history_fetched', turn=ident, archive=archive.name, turns=len(chain.turns)
                 )
-                return chain.turns[0]
-        turn = await self._find_in_service(ident)
-        if turn is not None:
-            return turn
-        all_asked = bool(asked) and self._directory.disks() <= {a.disk for a in asked}
-        log.warning(
-            'turn_not_found',
-            turn=ident,
-            asked=len(asked),
-            directory_version=self._directory.version,
-            all_asked=all_asked,
-            all_answered=not unanswered,
-        )
-        if unanswered or not all_asked:
-            raise _uncertain(f'{ident}: not every archive answered')
-        raise Refusal(Reason.UNKNOWN_TURN, ident, step=Step.ORDER)
+                return chain.turns[0], asked, unanswered
+        return None, asked, unanswered
 
     async def _find_in_service(self, ident: str) -> Turn | None:
         try:
--- a/tests/platform/test_allowance.py
+++ b/tests/platform/test_allowance.py
@@ -3,7 +3,15 @@
 import asyncio
 
 from toucanlead_core.timers import Timers
-from toucanlead_serving.allowance import LOAN_LIFE_S, Allowance
+from toucanlead_serving.allowance import (
+    LOAN_LIFE_S,
+    Allowance,
+    BudgetRecord,
+    PendingGrant,
+    Share,
+)
+
+OWN = Share('a', 'n1')
 
 
 class FakeTimers(Timers):
@@ -19,38 +27,63 @@
         raise AssertionError('no timer is wanted')
 
 
+def allowance_of(budget, granted=0):
+    allowance = Allowance('p', BudgetRecord(budget, 0))
+    if granted:
+        allowance.pending = PendingGrant(BudgetRecord(budget, granted, (OWN,)), granted)
+        allowance.pending_took_effect(1)
+    return allowance
+
+
 class TestAllowance:
     def test_nothing_is_handed_out_without_a_grant(self):
-        assert not Allowance('p', 1000).reserve(1)
+        assert allowance_of(1000).reserve(1) == 0
 
     def test_what_a_turn_did_not_use_may_be_reserved_again(self):
-        allowance = Allowance('p', 1000)
-        allowance.grant(300, 300, 1)
+        allowance = allowance_of(1000, granted=300)
         assert allowance.reserve(290)
         assert not allowance.reserve(290)
         allowance.settle(290, 70)
         assert allowance.available == 230
 
     def test_loans_come_back_or_count_as_spent(self):
-        allowance = Allowance('p', 1000)
-        allowance.grant(600, 600, 1)
-        assert allowance.lend(290, now=0.0)
+        allowance = allowance_of(1000, granted=600)
+        assert allowance.lend(290, now=0.0) == 290
         allowance.repaid(200, 90)
         assert (allowance.available, allowance.spent, allowance.lent) == (510, 90, 0)
-        assert allowance.lend(290, now=1.0)
+        assert allowance.lend(290, now=1.0) == 290
         allowance.write_off_loans(now=1.0 + LOAN_LIFE_S)
         assert allowance.lent == 290
         allowance.write_off_loans(now=1.1 + LOAN_LIFE_S)
         assert (allowance.lent, allowance.spent) == (0, 380)
 
     def test_a_grant_leaves_something_for_other_entries(self):
-        allowance = Allowance('p', 5000)
-        assert allowance.next_grant(290) == 2500
+        assert allowance_of(5000).next_grant(290) == 2500
 
     def test_a_remainder_too_small_for_a_turn_is_taken_too(self):
-        allowance = Allowance('p', 870)
-        assert allowance.next_grant(290) == 580
-        allowance.grant(580, 580, 1)
+        assert allowance_of(870).next_grant(290) == 580
+        allowance = allowance_of(870, granted=580)
         allowance.spent = 580
         assert allowance.next_grant(290) == 290
-        assert Allowance('p', 800).next_grant(290) == 800
+        assert allowance_of(800).next_grant(290) == 800
+
+    def test_a_write_without_an_answer_is_made_again_as_it_was(self):
+        allowance = allowance_of(1000)
+        first = allowance.write_pending(290, OWN)
+        assert allowance.write_pending(100, Share('a', 'n2')) is first
+
+    def test_a_pending_grant_that_others_wrote_over_is_still_found(self):
+        allowance = allowance_of(1000)
+        pending = allowance.write_pending(290, OWN)
+        other = pending.record.with_share(300, Share('b', 'n9'))
+        allowance.learn(other, 7)
+        assert allowance.granted == pending.tokens
+        assert allowance.lenders('a') == ['b']
+
+    def test_a_debt_made_while_a_write_was_pending_is_covered_by_it(self):
+        allowance = allowance_of(1000)
+        pending = allowance.write_pending(290, OWN)
+        allowance.grant_on_debt(290)
+        allowance.pending_took_effect(3)
+        assert allowance.debt == 0
+        assert allowance.granted == pending.tokens
--- /dev/null
+++ b/tests/platform/test_budgets.py
@@ -0,0 +1,364 @@
+"""Budgets: never overdrawn, whatever fails; refused as spent only when they are."""
+
+import asyncio
+import os
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from toucanlead_core.errors import NotSent, OutcomeUnknown, Reason, Refusal
+from toucanlead_core.timers import Timers
+from toucanlead_kv.kv import Compare, KeyValueStore, Put, TxnResult
+from toucanlead_peer.turns import EscrowTransport
+from toucanlead_platform_standins.caller import Caller
+from toucanlead_platform_standins.site import BOOKING
+from toucanlead_serving.budgets import Budgets
+from toucanlead_serving.debts import DebtBook
+from toucanlead_serving.grants import Grants
+from toucanlead_standins.kv_model import KvModel
+from toucanlead_standins.memory_network import MemoryLoop
+
+from .fleet import ENTRY_1, ENTRY_2, ENTRY_3, on_fleet
+
+TURN = 290
+PATIENCE_S = 2.0  # callers abandon a stream after a gap of two seconds
+FUZZ = 'TOUCANLEAD_FUZZ' in os.environ  # `make fuzz` searches longer, from random seeds
+STEADY = settings(
+    derandomize=not FUZZ,
+    max_examples=1500 if FUZZ else 30,
+    stateful_step_count=40 if FUZZ else 30,
+    deadline=None,
+)
+
+
+def tokens_of(site, *programs):
+    """Return how many tokens the programs' runs generated."""
+    runs = [r for r in site.log.runs if r.headers.get('Toucanlead-Program-Id') in programs]
+    return 10 * sum(run.events for run in runs)
+
+
+class TestSpending:
+    @on_fleet()
+    async def test_a_program_that_loops_is_stopped_at_its_budget(self, site, caller):
+        caller.budget = 870
+        statuses = [(await caller.turn(ENTRY_1)).status for _ in range(20)]
+        assert statuses[-1] == 402
+        assert tokens_of(site, 'p1') <= 870
+        assert 870 - tokens_of(site, 'p1') < TURN
+
+    @on_fleet()
+    async def test_entries_share_a_budget(self, site, caller):
+        caller.budget = 870
+        statuses = []
+        for _ in range(8):
+            for vm in (ENTRY_1, ENTRY_2, ENTRY_3):
+                statuses.append((await caller.turn(vm)).status)
+        assert tokens_of(site, 'p1') <= 870
+        assert 870 - tokens_of(site, 'p1') < TURN
+        assert set(statuses) == {200, 402}
+
+    @on_fleet()
+    async def test_turns_at_once_wait_for_tokens_that_others_give_back(self, site, caller):
+        caller.budget = 870
+        replies = await asyncio.gather(*(caller.turn(ENTRY_1) for _ in range(6)))
+        assert [reply.status for reply in replies] == [200] * 6
+
+    @on_fleet()
+    async def test_what_a_stopping_entry_did_not_use_goes_to_others(self, site, caller):
+        caller.budget = 870
+        assert (await caller.turn(ENTRY_1)).whole
+        await site.entries['entry-1'].stop()
+        replies = [await caller.turn(ENTRY_2) for _ in range(9)]
+        assert [reply.status for reply in replies] == [200] * 9
+
+    @on_fleet()
+    async def test_a_lost_entry_s_grant_counts_as_spent(self, site, caller):
+        caller.budget = 870
+        assert (await caller.turn(ENTRY_1)).whole
+        site.network.kill(ENTRY_1.ip)
+        statuses = [(await caller.turn(ENTRY_2)).status for _ in range(9)]
+        assert 200 in statuses
+        assert statuses[-1] in (402, 503)
+        assert tokens_of(site, 'p1') <= 870
+
+
+class TestWithoutService:
+    @on_fleet()
+    async def test_new_programs_are_served_while_the_service_is_away(self, site, caller):
+        site.service.faults.silent = True
+        await asyncio.sleep(1.5)
+        for number in range(6):
+            program = Caller(f'new{number}', budget=1400)
+            for vm in (ENTRY_1, ENTRY_2, ENTRY_1):
+                reply = await program.turn(vm)
+                assert reply.whole
+                assert reply.seconds < PATIENCE_S
+
+    @on_fleet()
+    async def test_debts_are_recorded_when_the_service_is_back(self, site, caller):
+        caller.budget = 870
+        site.service.faults.down = True
+        await asyncio.sleep(1.5)
+        assert (await caller.turn(ENTRY_1)).whole
+        site.service.faults.down = False
+        await asyncio.sleep(3.0)
+        statuses = [(await caller.turn(vm)).status for vm in (ENTRY_1, ENTRY_2) * 10]
+        assert statuses[-1] == 402
+        assert tokens_of(site, 'p1') <= 870
+
+    @on_fleet()
+    async def test_a_program_known_elsewhere_borrows_from_its_holder(self, site, caller):
+        caller.budget = 870
+        assert (await caller.turn(ENTRY_1)).whole
+        site.service.faults.down = True
+        await asyncio.sleep(1.5)
+        statuses = [(await caller.turn(ENTRY_2)).status for _ in range(12)]
+        assert 200 in statuses
+        assert tokens_of(site, 'p1') <= 870
+
+    @on_fleet()
+    async def test_a_restarted_entry_overdraws_by_one_turn_at_most(self, site, caller):
+        caller.budget = 870
+        statuses = [(await caller.turn(ENTRY_1)).status for _ in range(20)]
+        assert statuses[-1] == 402
+        site.network.kill(ENTRY_1.ip)
+        await site.start_entry(ENTRY_1)
+        await asyncio.sleep(1.0)
+        site.service.faults.down = True
+        await asyncio.sleep(1.5)
+        for _ in range(10):
+            await caller.turn(ENTRY_1)
+            await caller.turn(ENTRY_2)
+        assert tokens_of(site, 'p1') <= 870 + TURN
+
+    @on_fleet()
+    async def test_calls_of_tools_need_no_budget(self, site, caller):
+        site.service.faults.down = True
+        assert (await caller.request(ENTRY_1, 'POST', BOOKING, b'x')).whole
+
+
+class TestLostAnswers:
+    @on_fleet()
+    async def test_a_grant_is_used_whose_answers_were_lost_twice(self, site, caller):
+        caller.budget = 870
+        site.service.faults.lose_answers = 2
+        replies = [await caller.turn(ENTRY_1) for _ in range(3)]
+        await asyncio.sleep(2.0)
+        replies += [await caller.turn(ENTRY_1) for _ in range(7)]
+        assert [reply.status for reply in replies] == [200] * 10
+        assert tokens_of(site, 'p1') == 600
+
+
+class FaultyStore(KeyValueStore):
+    """A KvModel whose answers may be lost, late, or refused."""
+
+    def __init__(self, model):
+        self.model = model
+        self.mode = 'up'
+        self.late: list[tuple[list[Compare], list[Put]]] = []
+
+    async def txn(self, compares, ops):
+        await asyncio.sleep(0.004)
+        if self.mode == 'down':
+            raise NotSent('down')
+        if self.mode == 'late':
+            self.late.append((compares, ops))
+            raise OutcomeUnknown('no answer yet')
+        result = self.model.txn(compares, ops)
+        if self.mode == 'lossy':
+            raise OutcomeUnknown('answer lost')
+        if result.succeeded:
+            return result
+        current = [self.model.get(compare.key) for compare in compares]
+        return TxnResult(False, result.revision, [e for e in current if e is not None])
+
+    async def get(self, key):
+        return self.model.get(key)
+
+    async def scan(self, prefix):
+        return self.model.scan(prefix)
+
+    async def grant_lease(self, ttl_s):
+        raise AssertionError
+
+    async def keep_alive(self, lease):
+        raise AssertionError
+
+    async def revoke(self, lease):
+        raise AssertionError
+
+    def watch(self, prefix, from_rev):
+        raise AssertionError
+
+
+class Peers(EscrowTransport):
+    """Entries that reach one another unless one of them is cut off or gone."""
+
+    def __init__(self, machine, own):
+        self.machine = machine
+        self.own = own
+
+    def _at(self, address):
+        budgets = self.machine.entries.get(address)
+        if budgets is None or address in self.machine.cut or self.own in self.machine.cut:
+            raise NotSent('unreachable', peer=address)
+        return budgets
+
+    async def borrow(self, address, program, tokens, budget, timeout_s):
+        return await self._limited(self._at(address).borrow(program, tokens, budget), timeout_s)
+
+    async def repay(self, address, program, unused, used, timeout_s):
+        await self._at(address).repay(program, unused, used)
+
+    async def holder(self, address, program, timeout_s):
+        return await self._limited(self._at(address).holder(program), timeout_s)
+
+    async def _limited(self, work, timeout_s):
+        try:
+            return await asyncio.wait_for(work, timeout_s)
+        except TimeoutError:
+            raise OutcomeUnknown('no answer in time') from None
+
+
+class Notes(DebtBook):
+    """Debts on disks that nothing in this test can harm."""
+
+    def __init__(self, noted):
+        self.noted = noted
+
+    async def enter(self, program):
+        await asyncio.sleep(0.005)
+        is_new = program not in self.noted
+        self.noted.add(program)
+        return is_new
+
+    async def exists(self, program):
+        return program in self.noted
+
+
+class LoopTime(Timers):
+    def now(self):
+        return asyncio.get_running_loop().time()
+
+    async def sleep(self, delay_s):
+        await asyncio.sleep(delay_s)
+
+    def every(self, period_s, callback, name):
+        raise AssertionError('no timer is wanted')
+
+
+ADDRESSES = ('10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1')
+NUMBERS = st.integers(0, len(ADDRESSES) - 1)
+
+
+class Interleavings(RuleBasedStateMachine):
+    """Turns of one program at three entries, between crashes and lost answers."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = MemoryLoop()
+        self.model = KvModel(self.loop.time)
+        self.store = FaultyStore(self.model)
+        self.entries = {}
+        self.cut = set()
+        self.noted = set()
+        self.open = []
+        self.handed = 0
+        self.crashed = False
+        self.numbers = iter(range(10**9))
+
+    @initialize(budget=st.integers(300, 2000))
+    def begin(self, budget):
+        self.budget = budget
+        for address in ADDRESSES:
+            self._start(address, fresh=True)
+
+    def _start(self, address, fresh):
+        async def build():
+            return Budgets(
+                Grants(self.store, LoopTime(), address, lambda: f'n{next(self.numbers)}'),
+                Notes(self.noted),
+                Peers(self, address),
+                LoopTime(),
+                address,
+                lambda: list(ADDRESSES),
+                None if fresh else asyncio.get_running_loop().time(),
+            )
+
+        self.entries[address] = self.loop.run_until_complete(build())
+
+    @rule(number=NUMBERS)
+    def begin_turn(self, number):
+        address = ADDRESSES[number]
+        budgets = self.entries[address]
+
+        async def reserve():
+            deadline = asyncio.get_running_loop().time() + 2.0
+            return await budgets.reserve('p', self.budget, TURN, deadline, 70)
+
+        try:
+            reservation = self.loop.run_until_complete(reserve())
+        except Refusal as refusal:
+            if refusal.reason is Reason.BUDGET_EXHAUSTED and not self.crashed:
+                most = self.handed + sum(r.tokens - r.used for _, r in self.open)
+                assert most + TURN > self.budget, 'refused as spent, and it was not'
+        else:
+            self.open.append((address, reservation))
+
+    @rule(used=st.integers(0, TURN), first=st.booleans())
+    def end_turn(self, used, first):
+        if not self.open:
+            return
+        address, reservation = self.open.pop(0 if first else -1)
+        reservation.used = min(used, reservation.tokens)
+        self.handed += reservation.used
+
+        async def settle():
+            self.entries[address].settle(reservation)
+            await asyncio.sleep(0.1)
+
+        self.loop.run_until_complete(settle())
+
+    @rule(number=NUMBERS)
+    def crash(self, number):
+        address = ADDRESSES[number]
+        self.crashed = True
+        for _, reservation in [one for one in self.open if one[0] == address]:
+            self.handed += reservation.tokens
+        self.open = [one for one in self.open if one[0] != address]
+        self._start(address, fresh=False)
+
+    @rule(mode=st.sampled_from(['up', 'up', 'down', 'lossy', 'late']))
+    def change_service(self, mode):
+        self.store.mode = mode
+
+    @rule()
+    def late_writes_arrive(self):
+        for compares, ops in self.store.late:
+            self.model.txn(compares, ops)
+        self.store.late.clear()
+
+    @rule(number=NUMBERS)
+    def cut_off(self, number):
+        self.cut = {ADDRESSES[number]}
+
+    @rule()
+    def heal(self):
+        self.cut = set()
+
+    @invariant()
+    def budget_is_kept(self):
+        if hasattr(self, 'budget'):
+            assert self.handed <= self.budget + TURN
+
+    def teardown(self):
+        self.loop.run_until_complete(asyncio.sleep(1))
+        self.loop.close()
+
+
+class TestInterleavings:
+    def test_no_interleaving_overdraws_or_refuses_falsely(self):
+        machine = Interleavings.TestCase
+        machine.settings = STEADY
+        machine().runTest()
--- a/tests/platform/test_service_faults.py
+++ b/tests/platform/test_service_faults.py
@@ -92,7 +92,7 @@
         site.service.faults.lose_answers = 1
         assert (await caller.turn(ENTRY_1)).whole
         allowance = site.entries['entry-1'].budgets._programs['p1'].allowance
-        assert allowance.granted == allowance.recorded
+        assert allowance.granted == allowance.record.granted
 
 
 class TestCut:
