Grants on debt from the first moment of an outage, and from other regions' entries

A refused write stayed pending, so that holders' replies were never complete. Change: the note of the debt comes first, then the region's entries are asked; being asked makes an entry look for notes before its next first grant, and one that is just taking one says that it is not sure. The note names the holder, so that an entry of another region borrows from it. A write that certainly was not made is not pending.

--- a/libs/serving/toucanlead_serving/allowance.py
+++ b/libs/serving/toucanlead_serving/allowance.py
@@ -37,15 +37,16 @@
         return BudgetRecord(self.budget, self.granted + tokens, shares)
 
 
-@frozen
+@define
 class PendingGrant:
-    """A write whose answer never came: it may still take effect, or have done so.
+    """A write that is not answered: when `uncertain`, it may take effect or have done so.
 
     `tokens` is by how much it raises the record on behalf of this entry.
     """
 
     record: BudgetRecord
     tokens: int
+    uncertain: bool = False
 
     @property
     def share(self) -> Share:
--- a/libs/serving/toucanlead_serving/budgets.py
+++ b/libs/serving/toucanlead_serving/budgets.py
@@ -6,7 +6,9 @@
 
 While the key-value service cannot be reached, one entry of the region, chosen by the
 program's id, grants on debt, once: one turn's most, by which a budget may be overdrawn
-at worst, or an ordinary grant when it is certain that no entry knows of the program.
+at worst, or an ordinary grant when it is certain that no entry of the region knows of
+the program. Entries that were asked about one look for debts before they take a first
+grant from the service.
 """
 
 import asyncio
@@ -47,7 +49,6 @@
 IDLE_S = 300.0  # a program that has been idle for so long has mostly ended
 DEBT_CHECK_S = 0.5
 TROUBLE_S = 30.0  # so long after trouble with the service, others may have granted on debt
-NOTICED_S = 2.0  # an outage of this length has been noticed by every entry
 
 
 @define(eq=False)
@@ -68,6 +69,7 @@
 @define(eq=False)
 class _Program:
     allowance: Allowance
+    deciding: bool = False  # whether a first grant may be about to be asked for
     lock: asyncio.Lock = field(factory=asyncio.Lock)
     changed: asyncio.Event = field(factory=asyncio.Event)
 
@@ -76,13 +78,18 @@
 class _Quest:
     """One search for tokens: whom it has asked in vain, and who could not be reached."""
 
-    allowance: Allowance
+    entry: _Program
     tokens: int
     patient: bool = True
     alone: bool = False
     refused: set[str] = field(factory=set)
     lost: bool = False
 
+    @property
+    def allowance(self) -> Allowance:
+        """Return the allowance to be filled."""
+        return self.entry.allowance
+
     @property
     def missing(self) -> int:
         """Return how many tokens are still to be found."""
@@ -133,7 +140,7 @@
         while not (amount := allowance.reserve(tokens, expected)):
             async with entry.lock:
                 if allowance.available < tokens:
-                    await self._obtain(entry, _Quest(allowance, tokens), deadline_at)
+                    await self._obtain(entry, _Quest(entry, tokens), deadline_at)
         return Reservation(allowance, amount)
 
     def settle(self, reservation: Reservation) -> None:
@@ -161,7 +168,7 @@
         allowance.write_off_loans(now)
         lent = allowance.lend(tokens, now)
         if not lent:
-            quest = _Quest(allowance, tokens, patient=not budget, alone=not budget)
+            quest = _Quest(entry, tokens, patient=not budget, alone=not budget)
             try:
                 async with entry.lock:
                     await self._obtain(entry, quest, now + BUSY_WAIT_S)
@@ -180,6 +187,7 @@
 
     async def holder(self, program: str) -> Holder:
         """Say which entry holds a program's grant, as far as is known here."""
+        self._grants.note_trouble()
         entry = self._programs.get(program)
         if entry is None:
             return Holder('', self._knows_all())
@@ -187,7 +195,7 @@
         if allowance.own:
             return Holder(self._address, self._knows_all())
         lenders = allowance.lenders(self._address)
-        is_complete = self._knows_all() and allowance.pending is None
+        is_complete = self._knows_all() and allowance.pending is None and not entry.deciding
         return Holder(lenders[0] if lenders else '', is_complete)
 
     async def give_back_all(self) -> None:
@@ -283,9 +291,15 @@
 
     async def _ask_service(self, quest: _Quest) -> str:
         allowance = quest.allowance
-        if not allowance.revision and await self._debt_elsewhere(allowance):
-            raise _unavailable('a grant on debt is not recorded yet')
-        taken = await self._grants.take(allowance, quest.tokens, patient=quest.patient)
+        quest.entry.deciding = True
+        try:
+            if not allowance.revision and await self._debt_elsewhere(allowance):
+                if not await self._grants.read(allowance):
+                    raise _unavailable('a grant on debt is not recorded yet')
+                return 'others were granted tokens'
+            taken = await self._grants.take(allowance, quest.tokens, patient=quest.patient)
+        finally:
+            quest.entry.deciding = False
         if taken is Taken.NO_ANSWER:
             await self._without_service(quest)
         return 'the key-value service does not answer'
@@ -299,7 +313,7 @@
             return False
         if self._grants.away_since is not None:
             return False  # whether to grant on debt is decided elsewhere
-        return await self._debts.exists(allowance.program)
+        return bool(await self._debts.holder(allowance.program))
 
     async def _without_service(self, quest: _Quest) -> None:
         """Get tokens for a program that is new here while the service cannot be reached."""
@@ -321,19 +335,16 @@
     async def _grant_on_debt(self, quest: _Quest, others: list[str]) -> None:
         """Grant tokens that the service will be told of later; once for a program."""
         allowance = quest.allowance
+        if not await self._debts.enter(allowance.program, self._address):
+            holder = await self._debts.holder(allowance.program)
+            allowance.lender = holder if holder != self._address else ''
+            return
         replies = await asyncio.gather(*(self._holder_at(o, allowance.program) for o in others))
         known = next((r.address for r in replies if r is not None and r.address), '')
         if known not in ('', self._address):
             allowance.lender = known
             return
-        if not await self._debts.enter(allowance.program):
-            return
-        away_s = self._timers.now() - (self._grants.away_since or self._timers.now())
-        is_new = (
-            away_s >= NOTICED_S
-            and self._knows_all()
-            and all(r is not None and r.complete for r in replies)
-        )
+        is_new = self._knows_all() and all(r is not None and r.complete for r in replies)
         most = min(quest.tokens, allowance.budget)
         amount = allowance.next_grant(quest.tokens) if is_new else most
         allowance.grant_on_debt(amount)
@@ -344,7 +355,6 @@
             budget=allowance.budget,
             asked=len(others),
             is_new=is_new,
-            away_ms=round(1e3 * away_s),
         )
 
     async def _borrow(
--- a/libs/serving/toucanlead_serving/debts.py
+++ b/libs/serving/toucanlead_serving/debts.py
@@ -12,12 +12,12 @@
     """Notes each program's debt once, so that a restart cannot grant it again."""
 
     @abc.abstractmethod
-    async def enter(self, program: str) -> bool:
-        """Note a debt; False when there is one already or it would not last."""
+    async def enter(self, program: str, holder: str) -> bool:
+        """Note a debt of an entry; False when there is one already or it would not last."""
 
     @abc.abstractmethod
-    async def exists(self, program: str) -> bool:
-        """Say whether a debt has been noted for a program."""
+    async def holder(self, program: str) -> str:
+        """Return the entry whose debt has been noted for a program, '' when none has."""
 
 
 class ArchivedDebts(DebtBook):
@@ -27,10 +27,10 @@
         """Take what writes to the archives."""
         self._turns = turns
 
-    async def enter(self, program: str) -> bool:
+    async def enter(self, program: str, holder: str) -> bool:
         """Note a debt on several disks."""
-        return await self._turns.note_once(_PREFIX + program, program, DEBT_KEEP_S)
+        return await self._turns.note_once(_PREFIX + program, program, holder, DEBT_KEEP_S)
 
-    async def exists(self, program: str) -> bool:
+    async def holder(self, program: str) -> str:
         """Ask the archives."""
-        return await self._turns.noted(_PREFIX + program, program)
+        return await self._turns.noted(_PREFIX + program, program) or ''
--- a/libs/serving/toucanlead_serving/grants.py
+++ b/libs/serving/toucanlead_serving/grants.py
@@ -13,7 +13,7 @@
 from toucanlead_core.timers import Timers
 from toucanlead_kv.kv import Compare, KeyValueStore, KvEntry, Put, TxnResult
 
-from .allowance import Allowance, BudgetRecord, Share
+from .allowance import Allowance, BudgetRecord, PendingGrant, Share
 
 log = structlog.get_logger()
 
@@ -58,7 +58,7 @@
         attempts = ATTEMPT_S if patient and self._away_until is None else ATTEMPT_S[:1]
         pending = allowance.write_pending(tokens, Share(self._address, self._nonce()))
         key = budget_key(allowance.program)
-        result = await self._write(key, allowance.revision, pending.record, attempts)
+        result = await self._write(key, allowance, pending, attempts)
         if result is None:
             self._no_answer()
             return Taken.NO_ANSWER
@@ -79,6 +79,22 @@
         )
         return Taken.GRANTED
 
+    async def read(self, allowance: Allowance) -> bool:
+        """Learn what is recorded of a program; False when nothing is, or no answer comes."""
+        try:
+            async with asyncio.timeout(ATTEMPT_S[0]):
+                found = await self._store.get(budget_key(allowance.program))
+        except (NotSent, OutcomeUnknown, TimeoutError):
+            self.note_trouble()
+            return False
+        if found is not None:
+            allowance.learn(read_record(found), found.mod_rev)
+        return found is not None
+
+    def note_trouble(self) -> None:
+        """Note that an entry finds the service away, so that grants on debt may exist."""
+        self.troubled_at = self._timers.now()
+
     async def give_back(self, allowances: list[Allowance]) -> None:
         """Record that what is unused of these grants may be granted to others."""
         for start in range(0, len(allowances), GIVE_BACK_BATCH):
@@ -101,18 +117,22 @@
             self.away_since = now
 
     async def _write(
-        self, key: str, revision: int, record: BudgetRecord, attempts: tuple[float, ...]
+        self, key: str, allowance: Allowance, pending: PendingGrant, attempts: tuple[float, ...]
     ) -> TxnResult | None:
+        """Write until answered; a write that certainly was not made is pending no longer."""
+        compares = [Compare(key, allowance.revision)]
+        puts = [Put(key, to_json(pending.record))]
         for limit_s in attempts:
             try:
                 async with asyncio.timeout(limit_s):
-                    return await self._store.txn(
-                        [Compare(key, revision)], [Put(key, to_json(record))]
-                    )
+                    return await self._store.txn(compares, puts)
             except (OutcomeUnknown, TimeoutError):
-                self.troubled_at = self._timers.now()
+                pending.uncertain = True
+                self.note_trouble()
             except NotSent:
-                return None
+                break
+        if not pending.uncertain:
+            allowance.pending = None
         return None
 
     def _learn(self, allowance: Allowance, result: TxnResult, key: str) -> None:
--- a/libs/serving/toucanlead_serving/turns.py
+++ b/libs/serving/toucanlead_serving/turns.py
@@ -112,7 +112,7 @@
             ms=round(1e3 * (self._timers.now() - began_at), 1),
         )
 
-    async def note_once(self, ident: str, key: str, keep_s: float) -> bool:
+    async def note_once(self, ident: str, key: str, text: str, keep_s: float) -> bool:
         """Write a note under an id that nobody has used; say whether it is new and durable.
 
         Notes are kept on as many disks as turns. When so many archives do not answer
@@ -121,13 +121,13 @@
         found, asked, unanswered = await self._ask_archives(ident, key)
         if found is not None or not asked or unanswered >= self.copies:
             return False
-        disks = await self._put_on_disks(Turn(ident, '', b'', b'', keep_s), key)
+        disks = await self._put_on_disks(Turn(ident, '', text.encode(), b'', keep_s), key)
         return len(disks) >= self.copies
 
-    async def noted(self, ident: str, key: str) -> bool:
-        """Say whether a note has been written, as far as the archives answer."""
+    async def noted(self, ident: str, key: str) -> str | None:
+        """Return a note's text, None when there is none as far as the archives answer."""
         found, _, _ = await self._ask_archives(ident, key)
-        return found is not None
+        return None if found is None else found.input.decode()
 
     async def _put_on_disks(self, turn: Turn, program: str) -> list[str]:
         """Write copies, in parallel, to as many archives as needed; return their disks."""
--- a/tests/platform/test_budgets.py
+++ b/tests/platform/test_budgets.py
@@ -105,8 +105,16 @@
         await asyncio.sleep(3.0)
         statuses = [(await caller.turn(vm)).status for vm in (ENTRY_1, ENTRY_2) * 10]
         assert statuses[-1] == 402
+        assert set(statuses) == {200, 402}
         assert tokens_of(site, 'p1') <= 870
 
+    @on_fleet()
+    async def test_programs_that_begin_with_an_outage_go_on_during_it(self, site, caller):
+        caller.budget = 2800
+        site.service.faults.down = True
+        replies = [await caller.turn(vm) for vm in (ENTRY_1, ENTRY_2, ENTRY_3) * 6]
+        assert [reply.status for reply in replies] == [200] * 18
+
     @on_fleet()
     async def test_a_program_known_elsewhere_borrows_from_its_holder(self, site, caller):
         caller.budget = 870
@@ -227,14 +235,14 @@
     def __init__(self, noted):
         self.noted = noted
 
-    async def enter(self, program):
+    async def enter(self, program, holder):
         await asyncio.sleep(0.005)
         is_new = program not in self.noted
-        self.noted.add(program)
+        self.noted.setdefault(program, holder)
         return is_new
 
-    async def exists(self, program):
-        return program in self.noted
+    async def holder(self, program):
+        return self.noted.get(program, '')
 
 
 class LoopTime(Timers):
@@ -262,7 +270,7 @@
         self.store = FaultyStore(self.model)
         self.entries = {}
         self.cut = set()
-        self.noted = set()
+        self.noted = {}
         self.open = []
         self.handed = 0
         self.crashed = False
