A follower lets changes gather for 0.2 s

Cause: nine processes and nine replicas that start within a second wake every watch one by one; a call each. Small, but no rule's bound is near 0.2 s.

--- a/libs/kv/toucanlead_kv/follow.py
+++ b/libs/kv/toucanlead_kv/follow.py
@@ -17,6 +17,7 @@
 MIN_WAIT_S = 0.05
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 2.0  # a watchdog says earlier when the service is back
+GATHER_S = 0.2  # changes seldom come alone, and a call for each of them is priced
 CHECKS_S = (1.0, 2.5)  # after a watch was cut, read everything again this much later
 PROBE_PERIOD_S = 1.0  # a stale read costs a tenth of a call
 PROBE_TIMEOUT_S = 0.9
@@ -126,6 +127,8 @@
                 changes = poll.result()
                 self._sink.apply(changes.events)
                 self._heard(changes.revision)
+                if changes.events:
+                    await self._pause(GATHER_S)
             if self._checks_at and self._timers.now() >= self._checks_at[0]:
                 self._checks_at.pop(0)
                 self._revision = None
