Metrics served on the address of the settings, with the age of what is known

Counters of each refusal and retry reason, latency histograms, gauges of the age of configuration, registry and members, of requests in progress and of an archive's disk. The archive's order sink had a method of the process by mistake; removed.

--- a/libs/serving/toucanlead_serving/adapter.py
+++ b/libs/serving/toucanlead_serving/adapter.py
@@ -22,8 +22,9 @@
 
 @frozen
 class Followed:
-    """A prefix to follow, and who takes its changes."""
+    """A prefix to follow, and who takes its changes; metrics call it by `name`."""
 
+    name: str
     prefix: str
     sink: ChangeSink
 
--- a/libs/serving/toucanlead_serving/archive_process.py
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -28,6 +28,8 @@
 from toucanlead_peer.serving_transport import GrpcArchives, GrpcRelay, serving_server
 
 from .adapter import Adapter, RetirementKeys
+from .metrics import ServingMetrics
+from .metrics_server import MetricsServer, age_of
 from .reload import SettingsReload
 
 log = structlog.get_logger()
@@ -52,10 +54,6 @@
         if any(entry.key == self._key for entry in entries):
             self.wanted.set()
 
-    def _relay_peers(self) -> list[str]:
-        """Return addresses of processes that can make calls to the key-value service for us."""
-        return self.directory.relays(self.settings)
-
     def apply(self, events: list[WatchEvent]) -> None:
         """Take changes."""
         if any(e.key == self._key and e.value is not None for e in events):
@@ -91,6 +89,8 @@
         self._keys: RetirementKeys = adapter.retirement(settings.process.name)
         self._order = RetirementOrder(self._keys.order)
         self._server = serving_server(archive=self.archive, relay=adapter.relay())
+        self.metrics = ServingMetrics()
+        self._metrics_server = MetricsServer(self.metrics, settings.listen.metrics)
         self._tasks = TaskSet()
 
     async def start(self) -> None:
@@ -102,6 +102,8 @@
             Follower(self._store, self._timers, self._rng, PEER_PREFIX, self.directory),
             Follower(self._store, self._timers, self._rng, self._keys.order, self._order),
         ]
+        self._add_gauges(followers[0])
+        await self._metrics_server.start()
         watchdog = StoreWatchdog(self._store, self._timers, PEER_PREFIX)
         for follower in followers:
             watchdog.watch_over(follower)
@@ -132,11 +134,21 @@
         self._server.close()
         await self._server.wait_closed()
         await self._tasks.cancel()
+        await self._metrics_server.stop()
         self._turns.close()
         self._channels.close()
         await self._adapter.close()
         log.info('archive_stopped', name=self.settings.process.name)
 
+    def _add_gauges(self, members: Follower) -> None:
+        """Let the metrics tell what the disk holds and the age of what is known."""
+        gauge = self.metrics.gauge
+        gauge('toucanlead_turns_held', 'Turns on this disk', lambda: len(self._turns.held))
+        gauge('toucanlead_disk_used_bytes', 'Of turns', lambda: self._turns.used_bytes)
+        gauge('toucanlead_disk_limit_bytes', 'For turns', lambda: self._turns.limit_bytes)
+        age = age_of(lambda: members.heard_at, self._timers.now)
+        gauge('toucanlead_members_age_seconds', 'Since the members were last heard of', age)
+
     def _record(self) -> ArchiveRecord:
         place = self.settings.process
         return ArchiveRecord(
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -34,6 +34,7 @@
 from .forwarder import Forwarder
 from .grants import Grants
 from .metrics import ServingMetrics
+from .metrics_server import MetricsServer, age_of
 from .registry import Registry
 from .reload import SettingsReload
 from .routes import CurrentRoutes
@@ -99,13 +100,15 @@
         self._watchdog = StoreWatchdog(self._store, self._timers, PEER_PREFIX)
         followed = [
             *adapter.followed(self.routes, self.registry, self._timers.now),
-            Followed(PEER_PREFIX, self.directory),
+            Followed('members', PEER_PREFIX, self.directory),
         ]
         self._followers = [
             Follower(self._store, self._timers, rng, one.prefix, one.sink) for one in followed
         ]
+        self._metrics_server = MetricsServer(self.metrics, settings.listen.metrics)
         self._tasks = TaskSet()
         self._stopping = False
+        self._add_gauges([one.name for one in followed])
 
     def is_ready(self) -> bool:
         """Say whether new callers should come here."""
@@ -122,9 +125,28 @@
         self._tasks.spawn(self._watchdog.run(), 'watchdog')
         self._tasks.spawn(self.budgets.record_debts(), 'debts')
         self._tasks.spawn(self._upkeep(), 'upkeep')
+        await self._metrics_server.start()
         await self._door.start()
         log.info('entry_started', name=self.settings.process.name)
 
+    def _add_gauges(self, followed: list[str]) -> None:
+        """Let the metrics tell the age of what is known, and what is in progress."""
+        now = self._timers.now
+        for name, follower in zip(followed, self._followers):
+            read = age_of(lambda follower=follower: follower.heard_at, now)
+            self.metrics.gauge(
+                f'toucanlead_{name}_age_seconds', f'Since the {name} was last heard of', read
+            )
+        gauge = self.metrics.gauge
+        gauge('toucanlead_configuration_version', 'Version in force', self._version)
+        gauge('toucanlead_replicas', 'Replicas known', lambda: len(self.registry.replicas))
+        gauge('toucanlead_entries', 'Entries known', lambda: len(self.directory.entries))
+        gauge('toucanlead_archives', 'Archives known', lambda: len(self.directory.archives))
+        gauge('toucanlead_in_progress', 'Requests', lambda: self.forwarder.in_progress)
+
+    def _version(self) -> int:
+        return self.routes.table.version if self.routes.table else 0
+
     def _region_entries(self) -> list[str]:
         """Return the addresses of this region's entries."""
         region = self.settings.process.region
@@ -155,6 +177,7 @@
             log.warning('stop_cuts_off', requests=self.forwarder.in_progress)
         await self.budgets.give_back_all()
         await self._door.stop()
+        await self._metrics_server.stop()
         self._peer_server.close()
         await self._tasks.cancel()
         self._client.close()
--- /dev/null
+++ b/libs/serving/toucanlead_serving/metrics_server.py
@@ -0,0 +1,50 @@
+"""Serves a process's metrics to Prometheus."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from toucanlead_core.sockets import split_address
+
+from .metrics import ServingMetrics
+
+CLOSE_S = 0.1  # how long a reader may take to get the rest of its text at a stop
+
+
+class MetricsServer:
+    """Answers every path with the text of the metrics."""
+
+    def __init__(self, metrics: ServingMetrics, address: str) -> None:
+        """Take what is served and host:port; nothing is served at an empty one."""
+        self._metrics = metrics
+        self._address = address
+        self._runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Open the socket; OSError when the address is in use."""
+        if not self._address:
+            return
+        host, port = split_address(self._address)
+        self._runner = web.ServerRunner(
+            web.Server(self._answer, access_log=None), shutdown_timeout=CLOSE_S
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port, reuse_address=True).start()
+
+    async def stop(self) -> None:
+        """Close the socket and what is connected to it."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
+        return web.Response(body=self._metrics.text(), content_type='text/plain', charset='utf-8')
+
+
+def age_of(read: Callable[[], float | None], now: Callable[[], float]) -> Callable[[], float]:
+    """Return a gauge's function: seconds since a time, infinite while there is none."""
+
+    def seconds() -> float:
+        at = read()
+        return float('inf') if at is None else now() - at
+
+    return seconds
