--- a/libs/cli/toucanlead/definition.py
+++ b/libs/cli/toucanlead/definition.py
@@ -131,6 +131,16 @@
         """
         return admin.doubt(action, program, seq, ran, content)
 
+    def explain(ident: str) -> ExitStatus:
+        """Tell what became of a request or program, from logs on standard input.
+
+        The logs of several processes may be given together, in any order, and with
+        the process's name before each line.
+
+        :param ident: the id of a request, turn or program
+        """
+        return processes.explain(ident)
+
     def check_config(file: str, *, adapter: AdapterName = 'native') -> ExitStatus:
         """Check a settings file and name every error in it.
 
@@ -166,5 +176,6 @@
         'demo': demo,
         'entry': entry,
         'archive': archive,
+        'explain': explain,
         'check-config': check_config,
     }
--- a/libs/cli/toucanlead/environment.py
+++ b/libs/cli/toucanlead/environment.py
@@ -1,5 +1,6 @@
 """Environment: all outside state of the command line in one object."""
 
+import io
 import os
 import sys
 import time
@@ -19,11 +20,12 @@
     folder: Path = field(factory=Path.cwd)
     variables: Mapping[str, str] = field(factory=dict)
     clock: Callable[[], float] = time.monotonic
+    stdin: TextIO = field(factory=io.StringIO)
 
     @classmethod
     def of_process(cls) -> 'Environment':
         """Return the environment of this process."""
-        return cls(sys.stdout, sys.stderr, Path.cwd(), os.environ)
+        return cls(sys.stdout, sys.stderr, Path.cwd(), os.environ, stdin=sys.stdin)
 
     def say(self, text: str) -> None:
         """Print a line of output."""
--- a/libs/cli/toucanlead/processes.py
+++ b/libs/cli/toucanlead/processes.py
@@ -53,6 +53,19 @@
             log_level,
         )
 
+    def explain(self, ident: str) -> ExitStatus:
+        """Print the story of a request or program out of the logs on standard input."""
+        from .explain import read_line, story
+
+        read = (read_line(text) for text in self._env.stdin)
+        lines = story([line for line in read if line is not None], ident)
+        if not lines:
+            self._env.warn(f'{ident}: in none of these lines')
+            return ExitStatus.ERROR
+        for line in lines:
+            self._env.say(line.text())
+        return ExitStatus.SUCCESS
+
     def check_config(self, file: str, adapter: str) -> ExitStatus:
         """Check a settings file."""
         if adapter == NATIVE:
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -52,6 +52,7 @@
     events: list[StreamEvent] = field(factory=list)
     replica: Replica | None = None
     status: int = 0
+    detail: str = ''
 
     @property
     def ran(self) -> Ran:
@@ -131,6 +132,7 @@
             outcome = 'answered'
         except Refusal as refusal:
             outcome = refusal.reason.value
+            journey.detail = refusal.detail
             self._metrics.refused(refusal.reason)
             raise
         except ConnectionError as exc:
@@ -147,8 +149,10 @@
         return {
             'request': req.ident,
             'outcome': outcome,
-            'ran': journey.ran.value,
+            'detail': journey.detail,
+            'ran': Ran.RAN.value if outcome == 'answered' else journey.ran.value,
             'program': req.program.program if req.program else '',
+            'previous': req.previous_turn or '',
             'route': journey.route.name,
             'config': journey.table.version,
             'replica': journey.replica.ident if journey.replica else '',
--- /dev/null
+++ b/tests/platform/test_explain.py
@@ -0,0 +1,114 @@
+"""From the id of a failed request to its cause, by the lines that docs/OPERATIONS.md shows."""
+
+import asyncio
+import re
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+from structlog.processors import LogfmtRenderer
+from structlog.testing import capture_logs
+
+from toucanlead.status import ExitStatus
+
+from ..utils.command import toucanlead
+from .fleet import ENTRY_1, ENTRY_2, on_fleet
+
+PAGE = (Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md').read_text()
+RENDER = LogfmtRenderer(key_order=['timestamp', 'event'], bool_as_flag=False)
+BROKEN_OFF = 'A request got 502, or its answer broke off: `backend_failed`'
+BEGIN = datetime(2026, 2, 18, tzinfo=UTC)
+
+
+class Recorded:
+    """Lines of all processes, as a collector would hand them on."""
+
+    def __init__(self):
+        self.lines = []
+        self._capture = capture_logs(processors=[self._stamp])
+
+    def _stamp(self, logger, name, event):
+        seconds = asyncio.get_running_loop().time()
+        return {'timestamp': (BEGIN + timedelta(seconds=seconds)).isoformat(), **event}
+
+    def __enter__(self):
+        self._entries = self._capture.__enter__()
+        return self
+
+    def __exit__(self, *exc_info):
+        self._capture.__exit__(*exc_info)
+        self.lines = [f'site {RENDER(None, "", entry)}' for entry in self._entries]
+
+    def story(self, ident):
+        """Return what the command prints about an id."""
+        result = toucanlead('explain', ident, stdin='\n'.join(self.lines))
+        assert result.status is ExitStatus.SUCCESS
+        return result.stdout
+
+
+def shown(heading):
+    """Return the parts of lines that the page shows under a heading, `key=value` each."""
+    section = PAGE.partition(f'### {heading}\n')[2].partition('\n### ')[0]
+    lines = re.findall(r'^    \d.*$', section, re.M)
+    assert lines, heading
+    wanted = ('event=', 'outcome=', 'ran=', 'all_asked=', 'is_new=')
+    return [[p for p in line.split() if p.startswith(wanted)] for line in lines]
+
+
+def assert_tells(story, heading):
+    """Check that each line on the page has its like in a story."""
+    told = story.splitlines()
+    for parts in shown(heading):
+        assert any(all(p in line.split() for p in parts) for line in told), (parts, story)
+
+
+class TestWalks:
+    @on_fleet()
+    async def test_tokens_that_cannot_be_had(self, site, caller):
+        caller.budget = 870
+        with Recorded() as logs:
+            assert (await caller.turn(ENTRY_1)).whole
+            site.service.faults.down = True
+            await asyncio.sleep(1.5)
+            replies = [await caller.turn(ENTRY_1) for _ in range(14)]
+        failed = next(reply for reply in replies if reply.status == 503)
+        assert_tells(logs.story(failed.ident), 'A turn got 503: `budget_unavailable`')
+
+    @on_fleet()
+    async def test_a_booking_whose_answer_was_lost(self, site, caller):
+        for replica in site.replicas.values():
+            replica.faults.lose_answers = 1
+        with Recorded() as logs:
+            reply = await caller.book(ENTRY_1)
+        assert reply.status == 502
+        assert_tells(logs.story(reply.ident), BROKEN_OFF)
+
+    @on_fleet()
+    async def test_a_turn_that_no_archive_holds(self, site, caller):
+        with Recorded() as logs:
+            reply = await caller.turn(ENTRY_2, previous='nothing')
+        assert reply.status == 404
+        assert_tells(logs.story(reply.ident), 'A turn got 404: `unknown_turn`')
+
+
+class TestCommand:
+    def test_says_when_no_line_names_the_id(self):
+        result = toucanlead('explain', 'r1', stdin='timestamp=2026-01-01T00:00:00Z event=x\n')
+        assert result.status is ExitStatus.ERROR
+        assert 'r1: in none of these lines' in result.stderr
+
+    def test_orders_the_lines_of_several_processes(self):
+        lines = [
+            'b timestamp=2026-01-01T00:00:02Z event=request_ended request=r1 program=p1',
+            'a timestamp=2026-01-01T00:00:01Z event=budget_granted program=p1 tokens=9',
+            'a timestamp=2026-01-01T00:00:01Z event=budget_granted program=p2 tokens=9',
+            'b timestamp=2026-01-01T00:00:00Z event=key_value_service_lost error="no answer"',
+            'c timestamp=2026-01-01T00:00:00Z event=key_value_service_lost error="no answer"',
+            'torn timestamp=2026-01-01T00:00:00Z event="req',
+        ]
+        told = toucanlead('explain', 'r1', stdin='\n'.join(lines)).stdout
+        events = [line.split()[1:3] for line in told.splitlines()]
+        assert events == [
+            ['b', 'event=key_value_service_lost'],
+            ['a', 'event=budget_granted'],
+            ['b', 'event=request_ended'],
+        ]
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,7 +10,7 @@
 from .utils.command import toucanlead
 
 ROOT = Path(__file__).parent.parent
-OPERATIONS = (ROOT / 'docs' / 'operations.md').read_text()
+OPERATIONS = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
 
 
 class TestPages:
--- a/tests/utils/command.py
+++ b/tests/utils/command.py
@@ -19,8 +19,9 @@
     stderr: str
 
 
-def toucanlead(*args: str, folder: Path | None = None) -> CommandResult:
+def toucanlead(*args: str, folder: Path | None = None, stdin: str = '') -> CommandResult:
     """Call the program with arguments."""
     out, err = io.StringIO(), io.StringIO()
-    status = main(list(args), Environment(out, err, folder or Path('.')))
+    env = Environment(out, err, folder or Path('.'), stdin=io.StringIO(stdin))
+    status = main(list(args), env)
     return CommandResult(status, out.getvalue(), err.getvalue())
