--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -1,4 +1,4 @@
-"""Checks that libraries import one way, relatively inside and absolutely outside."""
+"""Checks that libraries import one way, and that only the adapter knows the platform's wire."""
 
 import ast
 import sys
@@ -43,6 +43,21 @@
 # Packages of the adapter to the customers' platform, which has a folder of its own.
 ADAPTER = ('platform', 'platform_standins')
 
+# Names of the platform's wire, by how a text constant begins; PROTOCOL.md of the platform.
+WIRE_NAMES = (
+    'Toucanlead-',
+    '/kv-',
+    'op/',
+    'servers/',
+    'status/',
+    'pathPrefix',
+    'storeRevision',
+    'tombstone',
+    'maxAttempts',
+    'ttlMs',
+    'waitMs',
+)
+
 
 def main() -> int:
     """Print every wrong import; return 1 if there is one."""
@@ -65,11 +80,22 @@
     errors = []
     for path in sorted(_folder(library).glob(f'{_package(library)}/**/*.py')):
         for node in ast.walk(ast.parse(path.read_text(encoding='utf-8'))):
+            if library not in ADAPTER:
+                errors.extend(_wire_names(path, node))
             for name in _imported(node):
                 errors.extend(_judge(library, path, node.lineno, name))
     return errors
 
 
+def _wire_names(path: Path, node: ast.AST) -> list[str]:
+    if not isinstance(node, ast.Constant) or not isinstance(node.value, str):
+        return []
+    if not node.value.startswith(WIRE_NAMES):
+        return []
+    where = f'{path.relative_to(LIBRARIES.parent)}:{node.lineno}'
+    return [f'{where}: {node.value!r} is a name of the platform; it belongs into platform/']
+
+
 def _imported(node: ast.AST) -> list[str]:
     if isinstance(node, ast.ImportFrom) and node.level == 0 and node.module:
         return [node.module]
--- a/tools/write_settings_page.py
+++ b/tools/write_settings_page.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from toucanlead_core import process_settings
 from toucanlead_entry import settings
 from toucanlead_policy.preset import Preset
 
@@ -19,6 +20,21 @@
     ('[limits]', settings.LimitsSection),
     ('[preset]', Preset),
 )
+FLEET_SECTIONS = (
+    ('[process]', process_settings.ProcessSection),
+    ('[listen]', process_settings.ListenSection),
+    ('[service]', process_settings.ServiceSection),
+    ('[archive]', process_settings.ArchiveSection),
+    ('[tolerance]', process_settings.ToleranceSection),
+    ('[times]', process_settings.TimesSection),
+)
+FLEET_INTRODUCTION = """# On a fleet
+
+Settings of `toucanlead entry --adapter platform` and `toucanlead archive`, checked by
+`toucanlead check-config FILE --adapter platform`. A table `[zones]` names the region of
+each availability zone. The file is read again on SIGHUP and when it changes; addresses,
+names and the disk count from the next start on, and a file with errors changes nothing.
+"""
 INTRODUCTION = """# Settings
 
 Written by `tools/write_settings_page.py` from the classes that read the file. Settings
@@ -33,6 +49,9 @@
     parts = [INTRODUCTION]
     for title, kind in SECTIONS:
         parts.append(f'## {title}\n\n{_paragraph(kind)}\n\n{_table(kind)}')
+    parts.append(FLEET_INTRODUCTION)
+    for title, kind in FLEET_SECTIONS:
+        parts.append(f'## {title}\n\n{_paragraph(kind)}\n\n{_table(kind)}')
     return '\n'.join(parts)
 
 
