A grant on debt whose holder is lost counts as granted

Cause: all entries lost power during an outage; their debts stood on the archives' disks as notes, the entries that were to record them knew nothing any more, and every other entry waited for it (81 times 'a grant on debt is not recorded yet'). Change: the note names the most that was granted. When its holder is gone or does not know it, that much counts as granted, and the entry takes its grant on top. Notes are looked for as long as they are kept (600 s, was 30 s), so that none is granted twice.

--- a/libs/serving/toucanlead_serving/allowance.py
+++ b/libs/serving/toucanlead_serving/allowance.py
@@ -206,6 +206,11 @@
         self.record = record
         self.revision = revision
 
+    def count_lost(self, tokens: int) -> None:
+        """Count as granted what an entry had on debt that cannot record it any more."""
+        if not self.revision:
+            self.record = BudgetRecord(self.record.budget, tokens)
+
     def grant_on_debt(self, tokens: int) -> None:
         """Take a grant that the service cannot record now."""
         self.granted += tokens
--- a/libs/serving/toucanlead_serving/budgets.py
+++ b/libs/serving/toucanlead_serving/budgets.py
@@ -15,6 +15,7 @@
 import asyncio
 from collections.abc import Callable
 
+import attrs
 import structlog
 from attrs import define, field, frozen
 
@@ -35,7 +36,7 @@
 )
 
 from .allowance import Allowance, BudgetRecord
-from .debts import DebtBook
+from .debts import DEBT_KEEP_S, Debt, DebtBook
 from .grants import Grants, Taken
 
 log = structlog.get_logger()
@@ -51,7 +52,6 @@
 BUDGET_RETRY_AFTER_MS = 500  # the service's short outages end within this
 IDLE_S = 300.0  # a program that has been idle for so long has mostly ended
 DEBT_CHECK_S = 0.5
-TROUBLE_S = 30.0  # so long after trouble with the service, others may have granted on debt
 
 
 @define(eq=False)
@@ -355,10 +355,13 @@
         allowance = quest.allowance
         quest.entry.deciding = True
         try:
-            if not allowance.revision and await self._debt_elsewhere(allowance):
-                if not await self._grants.read(allowance):
-                    raise _unavailable('a grant on debt is not recorded yet')
-                return 'others were granted tokens'
+            debt = await self._debt_elsewhere(allowance)
+            if debt is not None:
+                if await self._grants.read(allowance):
+                    return 'others were granted tokens'
+                if not await self._is_lost(quest, debt):
+                    return f'a grant on debt of {debt.holder} is not recorded yet'
+                allowance.count_lost(debt.tokens)
             taken = await self._grants.take(allowance, quest.tokens, patient=quest.patient)
         finally:
             quest.entry.deciding = False
@@ -366,16 +369,32 @@
             await self._without_service(quest)
         return 'the key-value service does not answer'
 
-    async def _debt_elsewhere(self, allowance: Allowance) -> bool:
-        """Say whether another entry may have a debt that no record shows yet."""
+    async def _is_lost(self, quest: _Quest, debt: Debt) -> bool:
+        """Say whether the holder of a debt cannot record it; if it can, borrow from it."""
+        if debt.holder == self._address:
+            return True  # from before a restart: a debt of this run would be known
+        if debt.holder in quest.refused or quest.alone:
+            return debt.holder in quest.refused
+        allowance, asked = quest.allowance, quest.missing
+        loan = await self._borrow(allowance, debt.holder, asked, 0, BORROW_TIMEOUT_S)
+        if loan.outcome == GRANTED:
+            allowance.borrow(loan.tokens, asked, debt.holder)
+        elif loan.outcome in (UNKNOWN, UNREACHABLE):
+            log.warning('debt_lost', program=allowance.program, **attrs.asdict(debt))
+            return True
+        return False
+
+    async def _debt_elsewhere(self, allowance: Allowance) -> Debt | None:
+        """Return another entry's debt that no record may show yet."""
         troubled_at = self._grants.troubled_at
         recent = self._started_at if troubled_at is None else max(troubled_at, self._started_at)
         knows = self._knows_all_since is None and troubled_at is None
-        if allowance.debt or knows or self._timers.now() - recent > TROUBLE_S:
-            return False
+        is_known = allowance.revision or allowance.debt or knows
+        if is_known or self._timers.now() - recent > DEBT_KEEP_S:
+            return None
         if self._grants.away_since is not None:
-            return False  # whether to grant on debt is decided elsewhere
-        return bool(await self._debts.holder(allowance.program))
+            return None  # whether to grant on debt is decided elsewhere
+        return await self._debts.find(allowance.program)
 
     async def _without_service(self, quest: _Quest) -> None:
         """Get tokens for a program that is new here while the service cannot be reached."""
@@ -399,9 +418,13 @@
     async def _grant_on_debt(self, quest: _Quest, others: list[str]) -> None:
         """Grant tokens that the service will be told of later; once for a program."""
         allowance = quest.allowance
-        if not await self._debts.enter(allowance.program, self._address):
-            holder = await self._debts.holder(allowance.program)
-            allowance.lender = holder if holder != self._address else ''
+        most = min(quest.tokens, allowance.budget)
+        ordinary = allowance.next_grant(quest.tokens)
+        debt = Debt(self._address, max(most, ordinary))
+        if not await self._debts.enter(allowance.program, debt):
+            found = await self._debts.find(allowance.program)
+            elsewhere = found is not None and found.holder != self._address
+            allowance.lender = found.holder if elsewhere else ''
             return
         replies = await asyncio.gather(*(self._holder_at(o, allowance.program, '') for o in others))
         known = next((r.address for r in replies if r is not None and r.address), '')
@@ -409,8 +432,7 @@
             allowance.lender = known
             return
         is_new = self._knows_all() and all(r is not None and r.complete for r in replies)
-        most = min(quest.tokens, allowance.budget)
-        amount = allowance.next_grant(quest.tokens) if is_new else most
+        amount = ordinary if is_new else most
         allowance.grant_on_debt(amount)
         log.warning(
             'budget_granted_on_debt',
--- a/libs/serving/toucanlead_serving/debts.py
+++ b/libs/serving/toucanlead_serving/debts.py
@@ -2,22 +2,34 @@
 
 import abc
 
+from attrs import frozen
+
+from toucanlead_core.codec import from_json, to_json
+
 from .turns import Turns
 
 DEBT_KEEP_S = 600.0  # longer than a program lives, and than the service's outages
 _PREFIX = 'debt-'
 
 
+@frozen
+class Debt:
+    """A grant on debt: the entry that holds it, and how many tokens it is at most."""
+
+    holder: str
+    tokens: int
+
+
 class DebtBook(abc.ABC):
     """Notes each program's debt once, so that a restart cannot grant it again."""
 
     @abc.abstractmethod
-    async def enter(self, program: str, holder: str) -> bool:
-        """Note a debt of an entry; False when there is one already or it would not last."""
+    async def enter(self, program: str, debt: Debt) -> bool:
+        """Note a debt; False when there is one already or it would not last."""
 
     @abc.abstractmethod
-    async def holder(self, program: str) -> str:
-        """Return the entry whose debt has been noted for a program, '' when none has."""
+    async def find(self, program: str) -> Debt | None:
+        """Return the debt that has been noted for a program."""
 
 
 class ArchivedDebts(DebtBook):
@@ -27,10 +39,12 @@
         """Take what writes to the archives."""
         self._turns = turns
 
-    async def enter(self, program: str, holder: str) -> bool:
+    async def enter(self, program: str, debt: Debt) -> bool:
         """Note a debt on several disks."""
-        return await self._turns.note_once(_PREFIX + program, program, holder, DEBT_KEEP_S)
+        text = to_json(debt).decode()
+        return await self._turns.note_once(_PREFIX + program, program, text, DEBT_KEEP_S)
 
-    async def holder(self, program: str) -> str:
+    async def find(self, program: str) -> Debt | None:
         """Ask the archives."""
-        return await self._turns.noted(_PREFIX + program, program) or ''
+        text = await self._turns.noted(_PREFIX + program, program)
+        return None if text is None else from_json(text.encode(), Debt)
--- a/tests/platform/test_budgets.py
+++ b/tests/platform/test_budgets.py
@@ -119,6 +119,23 @@
         replies = [await caller.turn(vm) for vm in (ENTRY_1, ENTRY_2, ENTRY_3) * 6]
         assert [reply.status for reply in replies] == [200] * 18
 
+    @on_fleet()
+    async def test_programs_go_on_when_all_entries_restart_during_an_outage(self, site, caller):
+        caller.budget = 2800
+        site.service.faults.down = True
+        assert (await caller.turn(ENTRY_1)).whole
+        for vm in (ENTRY_1, ENTRY_2, ENTRY_3):
+            site.network.kill(vm.ip)
+        site.service.faults.down = False
+        for vm in (ENTRY_1, ENTRY_2, ENTRY_3):
+            await site.start_entry(vm)
+        await site.until(lambda: all(e.is_ready() for e in site.entries.values()))
+        statuses = [(await caller.turn(vm)).status for vm in (ENTRY_1, ENTRY_2) * 3]
+        assert statuses == [200] * 6
+        while 402 not in statuses:
+            statuses.append((await caller.turn(ENTRY_3)).status)
+        assert tokens_of(site, 'p1') <= 2800
+
     @on_fleet()
     async def test_a_program_known_elsewhere_borrows_from_its_holder(self, site, caller):
         caller.budget = 870
@@ -240,14 +257,14 @@
     def __init__(self, noted):
         self.noted = noted
 
-    async def enter(self, program, holder):
+    async def enter(self, program, debt):
         await asyncio.sleep(0.005)
         is_new = program not in self.noted
-        self.noted.setdefault(program, holder)
+        self.noted.setdefault(program, debt)
         return is_new
 
-    async def holder(self, program):
-        return self.noted.get(program, '')
+    async def find(self, program):
+        return self.noted.get(program)
 
 
 class LoopTime(Timers):
