Maintenance keeps the journals of slots that a takeover claims meanwhile

Cause: Entry._shorten_lineages saves the programs of the slots it finds inherited, then SlotManager.shorten_lineages dropped other holders' journals from every owned slot, also from those that the takeover claimed while the programs were being saved. Their programs were in these journals only.

Change: the slots' records from before the save are passed on, and a slot is shortened only while its record in the store is still that one.

--- a/libs/entry/toucanlead_entry/entry.py
+++ b/libs/entry/toucanlead_entry/entry.py
@@ -205,13 +205,11 @@
     async def _shorten_lineages(self, checkpoints: Checkpoints) -> None:
         """Save the programs of slots taken over, then delete journals that no slot needs."""
         slot_manager = self.slot_manager
-        inherited = [
-            s for s in slot_manager.owned if len(slot_manager.view.slots[s][0].lineage) > 1
-        ]
+        inherited = slot_manager.inherited_slots()
         if not inherited:
             return
         await checkpoints.save_all(self._programs_in_slots(set(inherited)))
-        await slot_manager.shorten_lineages()
+        await slot_manager.shorten_lineages(inherited)
         for holder in slot_manager.unreferenced_journals():
             await delete_journal(self.ctx, holder, slot_manager.owner.journal.guard)
             slot_manager.sealed.discard(holder)
--- a/libs/entry/toucanlead_entry/slots.py
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -321,15 +321,21 @@
         self.view.slots[slot] = (record, 0)
         return done
 
-    async def shorten_lineages(self) -> None:
-        """Drop other holders' journals from all lineages; the programs must be saved before."""
-        for slot in sorted(self.owned):
-            record, _ = self.view.slots[slot]
-            if len(record.lineage) < 2:
-                continue
+    def inherited_slots(self) -> dict[int, SlotRecord]:
+        """Return the records of the owned slots that still need other holders' journals."""
+        records = {slot: self.view.slots[slot][0] for slot in self.owned}
+        return {slot: record for slot, record in records.items() if len(record.lineage) > 1}
+
+    async def shorten_lineages(self, saved: dict[int, SlotRecord]) -> None:
+        """Drop other holders' journals from the lineages of slots.
+
+        `saved` has the slots' records from before their programs were saved. Slots claimed
+        since are not in it: their programs may be in those journals only.
+        """
+        for slot, record in sorted(saved.items()):
             kv_entry = await self._ctx.store.get(slot_key(slot))
             old, mod_rev = _parse_slot(kv_entry)
-            if old.holder != self.owner.holder:
+            if self.owner is None or old != record or old.holder != self.owner.holder:
                 continue
             short = evolve(old, lineage=[self.owner.holder], nonce=self._ctx.nonce())
             put = Put(slot_key(slot), to_json(short))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from attrs import evolve
 
 from toucanlead_core.codec import from_json
@@ -14,7 +15,7 @@
 from toucanlead_standins.virtual_loop import run_virtual
 from toucanlead_trials.caller import Replayer
 from toucanlead_trials.fault_matrix import concurrent_programs, victim_program
-from toucanlead_trials.virtual_site import VirtualEntryClient, VirtualSite
+from toucanlead_trials.virtual_site import ENTRY_PLACES, VirtualEntryClient, VirtualSite
 
 INCARNATION_KEY = 'incarnations/a.1'
 
@@ -115,3 +116,52 @@
         assert in_memory == [False, False, False]
         assert not again.refused, again
         assert violations == []
+
+
+class TestTakeover:
+    @pytest.mark.parametrize('seed', [1, 2, 3])
+    def test_maintenance_during_a_takeover_loses_no_turn(self, seed):
+        """Slots are claimed one after another, and maintenance runs in between."""
+        first, second = list(ENTRY_PLACES)[:2]
+
+        async def play(client, program):
+            opened = await client.open(program, None)
+            program_id = opened.document['program_id']
+            for seq, call in enumerate(program.calls, 1):
+                reply = await client.call(program.team, program_id, seq, call)
+                assert not reply.refused, reply
+            return program_id
+
+        async def maintain(entry):
+            while True:
+                await entry._maintain()
+                await asyncio.sleep(0.001)
+
+        async def scenario():
+            site = VirtualSite(seed=seed, places={n: ENTRY_PLACES[n] for n in (first, second)})
+            await site.start()
+            client = VirtualEntryClient(site)
+            programs = [
+                evolve(program, name=f'program-{number}', calls=program.calls[:2])
+                for number in range(24)
+                for program in [evolve(concurrent_programs()[0], start_s=0.0)]
+            ]
+            ids = await asyncio.gather(*(play(client, program) for program in programs))
+            site.kill(first)
+            maintaining = asyncio.ensure_future(maintain(site.entries[second].entry))
+            await asyncio.sleep(8.0)
+            maintaining.cancel()
+            await asyncio.gather(maintaining, return_exceptions=True)
+            site.kill(second)
+            await site.start_entry(first)
+            await asyncio.sleep(30.0)
+            lost = []
+            for program, program_id in zip(programs, ids):
+                for seq in (1, 2):
+                    reply = await client.fetch(program.team, program_id, seq)
+                    if reply.refused:
+                        lost.append((program_id, seq, reply.document))
+            await site.stop()
+            return lost
+
+        assert run_virtual(scenario()) == []
