Processes follow the changes that an archive of their zone watches

Change: an archive of each availability zone watches the service and passes the entries, the changes and a heartbeat on to the processes of the zone over one stream each (Feed in serving.proto, ChangeFeed, ChangeFollower, DirectWatch). A follower leaves a publisher that is silent for 1 s, that ends the stream, whose entries are older than those seen already, or that has lost the service while the follower still reaches it. It goes to the next archive, and watches the service itself when no archive passes changes on. A process that others follow watches the service itself, so feeds never form a circle. The operator's documents are watched under one prefix instead of two.

--- a/libs/archive/toucanlead_archive/directory.py
+++ b/libs/archive/toucanlead_archive/directory.py
@@ -114,6 +114,20 @@
 
         return sorted(ordered, key=distance)
 
+    def publishers(self, settings: ProcessSettings) -> list[str]:
+        """Return the addresses of archives that may pass changes on to a process, best first.
+
+        All processes of a zone get the same order, so that few archives have to watch the
+        key-value service. The seeds are returned until an archive is known.
+        """
+        process, own = settings.process, settings.listen.peers
+        ordered = self.nearest(process.zone, process.zone, process.region)
+        staying = [record.address for record in ordered if not record.retiring]
+        if staying:
+            return staying
+        seeds = settings.service.seeds
+        return [own] if own in seeds else rendezvous(process.name, seeds)
+
     def relay_addresses(self, settings: ProcessSettings) -> list[str]:
         """Return the addresses of peers that can relay calls to the key-value service.
 
--- a/libs/kv/toucanlead_kv/kv.py
+++ b/libs/kv/toucanlead_kv/kv.py
@@ -158,6 +158,11 @@
     async def probe(self, key: str) -> None:
         """Make the cheapest possible read, to check that the service responds."""
 
+    @property
+    def is_relayed(self) -> bool:
+        """Return whether calls go through peers because the service rejects this process."""
+        return False
+
     async def scan(self, prefix: str) -> list[KvEntry]:
         """Return all entries under a prefix, in key order."""
         return (await self.snapshot(prefix)).entries
--- a/libs/kv/toucanlead_kv/watch.py
+++ b/libs/kv/toucanlead_kv/watch.py
@@ -35,10 +35,21 @@
         """Apply changes, which are in the order of their revisions."""
 
 
+class NullSink(ChangeSink):
+    """Ignores everything."""
+
+    def replace(self, entries: list[KvEntry]) -> None:
+        """Ignore a snapshot."""
+
+    def apply(self, events: list[WatchEvent]) -> None:
+        """Ignore changes."""
+
+
 class PrefixWatcher:
     """Watches a prefix by long polling and passes its entries and changes to a sink.
 
-    `synced` is set after the first snapshot; `last_response_at` is the time of the last response.
+    `synced` is set after the first snapshot; `last_response_at` is the time of the last
+    response, and the sink has all changes up to `applied_revision`.
     """
 
     def __init__(
@@ -58,6 +69,7 @@
         self._revision: int | None = None
         self._resync_times: list[float] = []
         self.last_response_at: float | None = None
+        self.applied_revision = 0
         self.synced = asyncio.Event()
 
     def restart(self) -> None:
@@ -143,23 +155,28 @@
             await asyncio.gather(poll_task, restart_task, return_exceptions=True)
 
     def _note_response(self, revision: int) -> None:
-        self._revision = revision
+        self._revision = self.applied_revision = revision
         self.last_response_at = self._timers.now()
 
 
 class StoreWatchdog:
     """Detects outages of the service and restarts all watchers when one begins or ends.
 
-    `lost_since` is the start of the current outage, or None.
+    `lost_since` is the start of the current outage, or None; `last_answer_at` is the time
+    of the last successful probe.
     """
 
-    def __init__(self, store: PollingStore, timers: Timers, key: str) -> None:
+    def __init__(
+        self, store: PollingStore, timers: Timers, key: str, period_s: float = PROBE_PERIOD_S
+    ) -> None:
         """`key` is the key that the probes read; it need not exist."""
         self._store = store
         self._timers = timers
         self._key = key
+        self._period_s = period_s
         self._watchers: list[PrefixWatcher] = []
         self.lost_since: float | None = None
+        self.last_answer_at: float | None = None
 
     def add_watcher(self, watcher: PrefixWatcher) -> None:
         """Restart a watcher whenever an outage begins or ends."""
@@ -168,7 +185,7 @@
     async def run(self) -> None:
         """Probe the service periodically until cancelled."""
         while True:
-            await self._timers.sleep(PROBE_PERIOD_S)
+            await self._timers.sleep(self._period_s)
             await self._probe()
 
     async def _probe(self) -> None:
@@ -181,6 +198,7 @@
                 log.warning('key_value_service_lost', error=str(exc) or 'no answer')
                 self._restart_all()
             return
+        self.last_answer_at = self._timers.now()
         if self.lost_since is not None:
             outage_s = self._timers.now() - self.lost_since
             self.lost_since = None
--- a/libs/peer/toucanlead_peer/serving_grpc.py
+++ b/libs/peer/toucanlead_peer/serving_grpc.py
@@ -174,3 +174,31 @@
             serving_pb2.RelayRequest,
             serving_pb2.RelayReply,
         )
+
+
+class FeedBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Follow(self, stream: 'grpclib.server.Stream[serving_pb2.FollowRequest, serving_pb2.FeedUpdate]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/toucanlead.Feed/Follow': grpclib.const.Handler(
+                self.Follow,
+                grpclib.const.Cardinality.UNARY_STREAM,
+                serving_pb2.FollowRequest,
+                serving_pb2.FeedUpdate,
+            ),
+        }
+
+
+class FeedStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Follow = grpclib.client.UnaryStreamMethod(
+            channel,
+            '/toucanlead.Feed/Follow',
+            serving_pb2.FollowRequest,
+            serving_pb2.FeedUpdate,
+        )
--- a/libs/peer/toucanlead_peer/serving_interfaces.py
+++ b/libs/peer/toucanlead_peer/serving_interfaces.py
@@ -1,9 +1,10 @@
-"""Messages and interfaces for stored turns, token budgets and relayed key-value calls.
+"""Messages and interfaces for stored turns, token budgets, relayed key-value calls and feeds.
 
 Entries and archives use them to call each other; serving_transport.py implements them.
 """
 
 import abc
+from collections.abc import AsyncGenerator
 
 from attrs import field, frozen
 
@@ -207,3 +208,50 @@
     @abc.abstractmethod
     async def call(self, call: RelayedCall) -> RelayedReply:
         """Make a call and return its response."""
+
+
+@frozen
+class FeedRow:
+    """A key of the key-value service with its value, or None if it was deleted.
+
+    `revision` is that of the key's last change or deletion, `created` that of its creation.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+    created: int = 0
+
+
+@frozen
+class FeedUpdate:
+    """The entries under a key prefix, or changes to them; without a prefix, a heartbeat.
+
+    With `complete`, the rows are all entries, known up to `revision`; otherwise they are
+    changes, in order. `current` is False while the publisher may be missing changes.
+    """
+
+    prefix: str = ''
+    rows: tuple[FeedRow, ...] = ()
+    complete: bool = False
+    current: bool = True
+    revision: int = 0
+
+
+class FeedTransport(abc.ABC):
+    """Receives the changes that another process watches in the key-value service."""
+
+    @abc.abstractmethod
+    def follow(self, address: str, prefixes: list[str]) -> AsyncGenerator[FeedUpdate, None]:
+        """Yield the entries under each prefix, then changes and heartbeats.
+
+        Raises NotSent if the publisher cannot be reached, OutcomeUnknown when the feed ends.
+        """
+
+
+class FeedHandler(abc.ABC):
+    """Serves the feeds that followers ask this process for."""
+
+    @abc.abstractmethod
+    def follow(self, prefixes: list[str]) -> AsyncGenerator[FeedUpdate, None]:
+        """Yield the entries under each prefix, then changes and heartbeats."""
--- a/libs/peer/toucanlead_peer/serving_transport.py
+++ b/libs/peer/toucanlead_peer/serving_transport.py
@@ -1,14 +1,26 @@
-"""Archive, loan and relay calls over grpclib, client and server side."""
+"""Archive, loan, relay and feed calls over grpclib, client and server side."""
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
 
 from google.protobuf.message import DecodeError
 from grpclib.client import Channel
+from grpclib.exceptions import ProtocolError
 from grpclib.server import Server, Stream
+from h2.exceptions import StreamClosedError
+
+from toucanlead_core.errors import OutcomeUnknown
 
 from . import serving_grpc, serving_pb2
-from .channels import ChannelPool
+from .channels import RPC_ERRORS, ChannelPool
 from .serving_interfaces import (
     ArchiveHandler,
     ArchiveTransport,
+    FeedHandler,
+    FeedRow,
+    FeedTransport,
+    FeedUpdate,
     GrantHolder,
     Loan,
     LoanHandler,
@@ -22,6 +34,8 @@
     TurnChain,
 )
 
+FEED_SEND_TIMEOUT_S = 4.0  # a follower that does not read for so long is disconnected
+
 
 class GrpcArchives(ArchiveTransport):
     """Calls archives over gRPC."""
@@ -144,6 +158,28 @@
         return await self._channels.call(address, 'relay', rpc)
 
 
+class GrpcFeeds(FeedTransport):
+    """Follows publishers over gRPC."""
+
+    def __init__(self, channels: ChannelPool) -> None:
+        """Use channels of its own: a feed must not end because a call on its channel fails."""
+        self._channels = channels
+
+    async def follow(self, address: str, prefixes: list[str]) -> AsyncGenerator[FeedUpdate, None]:
+        """Yield the entries under each prefix, then changes and heartbeats."""
+        channel = await self._channels.open(address)
+        try:
+            async with serving_grpc.FeedStub(channel).Follow.open() as stream:
+                await stream.send_message(serving_pb2.FollowRequest(prefixes=prefixes), end=True)
+                async for message in stream:
+                    yield _feed_update_from_proto(message)
+        except RPC_ERRORS as exc:
+            raise OutcomeUnknown(repr(exc), step='feed', peer=address) from exc
+        finally:
+            self._channels.drop(address, channel)
+        raise OutcomeUnknown('the publisher ended the feed', step='feed', peer=address)
+
+
 class _ArchiveServicer(serving_grpc.ArchiveBase):
     def __init__(self, handler: ArchiveHandler) -> None:
         self._handler = handler
@@ -204,10 +240,35 @@
         await stream.send_message(serving_pb2.RelayReply(status=reply.status, body=reply.body))
 
 
+class _FeedServicer(serving_grpc.FeedBase):
+    def __init__(self, handler: FeedHandler) -> None:
+        self._handler = handler
+
+    async def Follow(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        async with aclosing(self._handler.follow(list(message.prefixes))) as updates:
+            try:
+                async for update in updates:
+                    async with asyncio.timeout(FEED_SEND_TIMEOUT_S):
+                        await stream.send_message(_feed_update_to_proto(update))
+            except asyncio.CancelledError:
+                await _end_stream(stream)
+                raise
+
+
+async def _end_stream(stream: Stream) -> None:
+    """Tell the follower that this server is being closed, unless the follower has left."""
+    try:
+        await stream.cancel()
+    except (StreamClosedError, ProtocolError):
+        return
+
+
 def serving_server(
     archive: ArchiveHandler | None = None,
     loans: LoanHandler | None = None,
     relay: RelayHandler | None = None,
+    feed: FeedHandler | None = None,
 ) -> Server:
     """Return a grpclib server for the handlers that are given, not yet started."""
     servicers = []
@@ -217,6 +278,8 @@
         servicers.append(_LoanServicer(loans))
     if relay is not None:
         servicers.append(_RelayServicer(relay))
+    if feed is not None:
+        servicers.append(_FeedServicer(feed))
     return Server(servicers)
 
 
@@ -253,3 +316,31 @@
         message.keep_ms / 1e3,
         tuple(message.disks),
     )
+
+
+def _feed_update_to_proto(update: FeedUpdate) -> serving_pb2.FeedUpdate:
+    rows = [
+        serving_pb2.FeedRow(
+            key=row.key,
+            value=row.value or b'',
+            revision=row.revision,
+            created=row.created,
+            deleted=row.value is None,
+        )
+        for row in update.rows
+    ]
+    return serving_pb2.FeedUpdate(
+        prefix=update.prefix,
+        complete=update.complete,
+        rows=rows,
+        current=update.current,
+        revision=update.revision,
+    )
+
+
+def _feed_update_from_proto(message: serving_pb2.FeedUpdate) -> FeedUpdate:
+    rows = tuple(
+        FeedRow(row.key, None if row.deleted else row.value, row.revision, row.created)
+        for row in message.rows
+    )
+    return FeedUpdate(message.prefix, rows, message.complete, message.current, message.revision)
--- a/libs/serving/toucanlead_serving/adapter.py
+++ b/libs/serving/toucanlead_serving/adapter.py
@@ -33,10 +33,11 @@
 class RetirementKeys:
     """Keys and values for an operator's order to empty a disk.
 
-    `order_key` is the key of the order and `status_key` that of the status report, whose
-    value is `running_document` or `done_document`.
+    `order_key` is the key of the order, under `order_prefix`, and `status_key` that of the
+    status report, whose value is `running_document` or `done_document`.
     """
 
+    order_prefix: str
     order_key: str
     status_key: str
     running_document: bytes
@@ -82,7 +83,14 @@
     def watched_prefixes(
         self, routes: CurrentRoutes, registry: Registry, now: Callable[[], float]
     ) -> list[WatchedPrefix]:
-        """Return the prefixes to watch so that routes and registry stay up to date."""
+        """Return the prefixes that an entry watches, so that routes and registry are current.
+
+        An archive watches the same ones, to pass changes on to entries.
+        """
+
+    @abc.abstractmethod
+    def published_prefixes(self) -> list[str]:
+        """Return the prefixes of `watched_prefixes`."""
 
     @abc.abstractmethod
     def replica_client(self, timers: Timers, region: str) -> ReplicaClient:
--- a/libs/serving/toucanlead_serving/archive_process.py
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -21,13 +21,16 @@
 from toucanlead_core.process_settings import ProcessSettings, SettingsFile
 from toucanlead_core.sockets import split_address
 from toucanlead_core.tasks import TaskSet
-from toucanlead_core.timers import LoopTimers
+from toucanlead_core.timers import LoopTimers, TimerHandle
 from toucanlead_kv.kv import Delete, KvEntry, Put, WatchEvent
-from toucanlead_kv.watch import ChangeSink, PrefixWatcher, StoreWatchdog
+from toucanlead_kv.watch import ChangeSink, NullSink
 from toucanlead_peer.channels import ChannelPool
-from toucanlead_peer.serving_transport import GrpcArchives, GrpcRelay, serving_server
+from toucanlead_peer.serving_transport import GrpcArchives, GrpcFeeds, GrpcRelay, serving_server
 
 from .adapter import Adapter, RetirementKeys
+from .change_feed import ChangeFeed
+from .change_follower import PROBE_PERIOD_S, ChangeFollower
+from .direct_watch import WatchedSink
 from .metrics import ServingMetrics
 from .metrics_server import MetricsServer, age_of
 from .reload import SettingsReload
@@ -69,6 +72,7 @@
         self._rng = rng
         self._timers = LoopTimers(rng)
         self._channels = ChannelPool()
+        self._feed_channels = ChannelPool()  # a failed call on a channel must not end a feed
         self._turns = TurnStore(
             Path(settings.archive.folder),
             int(settings.archive.disk_mb * TURNS_DISK_SHARE * BYTES_PER_MB),
@@ -87,34 +91,40 @@
         )
         self._retirement_keys: RetirementKeys = adapter.retirement_keys(settings.process.name)
         self._retirement_order = RetirementOrder(self._retirement_keys.order_key)
-        self._peer_server = serving_server(archive=self.archive, relay=adapter.relay_handler())
+        feed = ChangeFeed(self._timers)
+        sinks: dict[str, ChangeSink] = dict.fromkeys(adapter.published_prefixes(), NullSink())
+        sinks |= {
+            self._retirement_keys.order_prefix: self._retirement_order,
+            PEER_PREFIX: self.directory,
+        }
+        self.follower = ChangeFollower(
+            self._store,
+            GrpcFeeds(self._feed_channels),
+            self._timers,
+            rng,
+            [WatchedSink(prefix, sink) for prefix, sink in sinks.items()],
+            lambda: self.directory.publishers(self.settings),
+            settings.listen.peers,
+            feed,
+        )
+        self._peer_server = serving_server(
+            archive=self.archive, relay=adapter.relay_handler(), feed=feed
+        )
         self.metrics = ServingMetrics()
         self._metrics_server = MetricsServer(self.metrics, settings.listen.metrics)
         self._tasks = TaskSet()
+        self._probes: TimerHandle | None = None
 
     async def start(self) -> None:
         """Open the disk and the sockets, and start the background tasks."""
         self._turns.open()
         host, port = split_address(self.settings.listen.peers)
         await self._peer_server.start(host, port)
-        watchers = [
-            PrefixWatcher(self._store, self._timers, self._rng, PEER_PREFIX, self.directory),
-            PrefixWatcher(
-                self._store,
-                self._timers,
-                self._rng,
-                self._retirement_keys.order_key,
-                self._retirement_order,
-            ),
-        ]
-        self._add_gauges(watchers[0])
+        self._add_gauges()
         await self._metrics_server.start()
-        watchdog = StoreWatchdog(self._store, self._timers, PEER_PREFIX)
-        for watcher in watchers:
-            watchdog.add_watcher(watcher)
-            self._tasks.spawn(watcher.run(), 'follow')
-        self._tasks.spawn(watchdog.run(), 'watchdog')
-        self._tasks.spawn(self._maintain_copies(watchers[0]), 'copies')
+        self._tasks.spawn(self.follower.run(), 'follow')
+        self._probes = self._timers.every(PROBE_PERIOD_S, self.follower.probe_if_relayed, 'probe')
+        self._tasks.spawn(self._maintain_copies(), 'copies')
         self._tasks.spawn(self._retire_when_ordered(), 'retire')
         log.info(
             'archive_started',
@@ -138,20 +148,22 @@
         log.info('archive_stopping', turns=len(self._turns.turns_by_id))
         self._peer_server.close()
         await self._peer_server.wait_closed()
+        self._probes.cancel()
         await self._tasks.cancel()
         await self._metrics_server.stop()
         self._turns.close()
         self._channels.close()
+        self._feed_channels.close()
         await self._adapter.close()
         log.info('archive_stopped', name=self.settings.process.name)
 
-    def _add_gauges(self, members: PrefixWatcher) -> None:
+    def _add_gauges(self) -> None:
         """Add gauges for disk usage and for the age of the member list."""
         gauge = self.metrics.gauge
         gauge('toucanlead_turns_held', 'Turns on this disk', lambda: len(self._turns.turns_by_id))
         gauge('toucanlead_disk_used_bytes', 'Of turns', lambda: self._turns.used_bytes)
         gauge('toucanlead_disk_limit_bytes', 'For turns', lambda: self._turns.limit_bytes)
-        age = age_of(lambda: members.last_response_at, self._timers.now)
+        age = age_of(lambda: self.follower.heard_at, self._timers.now)
         gauge('toucanlead_members_age_seconds', 'Since the members were last heard of', age)
 
     def _record(self) -> ArchiveRecord:
@@ -160,9 +172,9 @@
             process.name, self._turns.disk, self.settings.listen.peers, process.zone, process.region
         )
 
-    async def _maintain_copies(self, watcher: PrefixWatcher) -> None:
+    async def _maintain_copies(self) -> None:
         """Register this archive and restore lost copies periodically, until it is to retire."""
-        await watcher.synced.wait()
+        await self.follower.synced.wait()
         while True:
             if not self._retirement_order.received.is_set():
                 await register(self._store, self.directory, self._record())
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -15,11 +15,11 @@
 from toucanlead_core.process_settings import ProcessSettings, SettingsFile
 from toucanlead_core.sockets import split_address
 from toucanlead_core.tasks import TaskSet
-from toucanlead_core.timers import LoopTimers
-from toucanlead_kv.watch import PrefixWatcher, StoreWatchdog
+from toucanlead_core.timers import LoopTimers, TimerHandle
 from toucanlead_peer.channels import ChannelPool
 from toucanlead_peer.serving_transport import (
     GrpcArchives,
+    GrpcFeeds,
     GrpcLoans,
     GrpcRelay,
     serving_server,
@@ -30,7 +30,9 @@
 from .adapter import Adapter, WatchedPrefix
 from .archive_client import ArchiveClient
 from .budgets import Budgets
+from .change_follower import PROBE_PERIOD_S, ChangeFollower
 from .debts import ArchiveDebtStore
+from .direct_watch import WatchedSink
 from .dispatch import Dispatch
 from .forwarder import Forwarder
 from .grants import Grants
@@ -58,6 +60,7 @@
         self._adapter = adapter
         self._timers = LoopTimers(rng)
         self._channels = ChannelPool()
+        self._feed_channels = ChannelPool()  # a failed call on a channel must not end a feed
         self.metrics = ServingMetrics()
         self.routes = CurrentRoutes()
         self.registry = Registry(settings.zones)
@@ -104,33 +107,35 @@
             settings, self.forwarder, self._timers, self.is_ready
         )
         self._peer_server = serving_server(loans=self.budgets, relay=adapter.relay_handler())
-        self._watchdog = StoreWatchdog(self._store, self._timers, PEER_PREFIX)
         watched = [
             *adapter.watched_prefixes(self.routes, self.registry, self._timers.now),
             WatchedPrefix('members', PEER_PREFIX, self.directory),
         ]
-        self._watchers = [
-            PrefixWatcher(self._store, self._timers, rng, item.prefix, item.sink)
-            for item in watched
-        ]
+        self.follower = ChangeFollower(
+            self._store,
+            GrpcFeeds(self._feed_channels),
+            self._timers,
+            rng,
+            [WatchedSink(item.prefix, item.sink) for item in watched],
+            lambda: self.directory.publishers(self.settings),
+        )
         self._metrics_server = MetricsServer(self.metrics, settings.listen.metrics)
         self._tasks = TaskSet()
+        self._probes: TimerHandle | None = None
         self._stopping = False
         self._add_gauges([item.name for item in watched])
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve new callers."""
-        synced = all(watcher.synced.is_set() for watcher in self._watchers)
+        synced = self.follower.synced.is_set()
         return not self._stopping and synced and bool(self.registry.replicas)
 
     async def start(self) -> None:
         """Open the sockets, watch the key-value service and start the background tasks."""
         host, port = split_address(self.settings.listen.peers)
         await self._peer_server.start(host, port)
-        for watcher in self._watchers:
-            self._watchdog.add_watcher(watcher)
-            self._tasks.spawn(watcher.run(), 'follow')
-        self._tasks.spawn(self._watchdog.run(), 'watchdog')
+        self._tasks.spawn(self.follower.run(), 'follow')
+        self._probes = self._timers.every(PROBE_PERIOD_S, self.follower.probe_if_relayed, 'probe')
         self._tasks.spawn(self.budgets.record_debts(), 'debts')
         self._tasks.spawn(self._upkeep(), 'upkeep')
         await self._metrics_server.start()
@@ -140,8 +145,8 @@
     def _add_gauges(self, names: list[str]) -> None:
         """Add gauges for the age of watched data, for known members and for requests."""
         now = self._timers.now
-        for name, watcher in zip(names, self._watchers):
-            read = age_of(lambda watcher=watcher: watcher.last_response_at, now)
+        read = age_of(lambda: self.follower.heard_at, now)
+        for name in names:
             self.metrics.gauge(
                 f'toucanlead_{name}_age_seconds', f'Since the {name} was last heard of', read
             )
@@ -190,9 +195,11 @@
         await self._caller_server.stop()
         await self._metrics_server.stop()
         self._peer_server.close()
+        self._probes.cancel()
         await self._tasks.cancel()
         self._replica_client.close()
         self._channels.close()
+        self._feed_channels.close()
         await self._adapter.close()
         log.info('entry_stopped', name=self.settings.process.name)
 
@@ -201,7 +208,7 @@
         return EntryRecord(process.name, self.settings.listen.peers, process.zone, process.region)
 
     async def _upkeep(self) -> None:
-        await self._watchers[-1].synced.wait()
+        await self.follower.synced.wait()
         while True:
             await register(self._store, self.directory, self._record())
             await self._timers.sleep(UPKEEP_PERIOD_S)
