--- a/libs/serving/toucanlead_serving/budgets.py
+++ b/libs/serving/toucanlead_serving/budgets.py
@@ -48,11 +48,12 @@
 
 BORROW_TIMEOUT_S = 0.25  # a round trip between regions and one retransmission
 BORROW_GRANT_TIMEOUT_S = 0.8  # the lender first asks the key-value service and its peers
+RESERVE_WAIT_S = 1.0  # callers abandon a turn after two seconds; refused, they come back
 LEND_WAIT_S = 0.6  # turns in progress mostly return their unused tokens within this time
 STEPS_BEFORE_BACKOFF = 4  # enough for a lost lender, the service and another lender
 RETRY_DELAY_S = 0.05
 RETRY_DELAY_LIMIT_S = 0.4
-BUDGET_RETRY_AFTER_MS = 500  # longer than a short outage of the key-value service
+BUDGET_RETRY_AFTER_MS = 500  # turns in progress return tokens, and short outages end, by then
 IDLE_S = 300.0  # most programs that have been idle for this long have ended
 DEBT_CHECK_S = 0.5
 
@@ -147,11 +148,13 @@
         """Reserve a turn's tokens.
 
         `tokens` is the turn's token limit and `expected` its expected use. Raise Refusal
-        if the budget is exhausted or no tokens are available before `deadline_at`.
+        if the budget is exhausted, or if no tokens are available within `RESERVE_WAIT_S`
+        and before `deadline_at`.
         """
         state = self._state_of(program, budget)
         allowance = state.allowance
         allowance.last_used_at = self._timers.now()
+        deadline_at = min(deadline_at, allowance.last_used_at + RESERVE_WAIT_S)
         while not (amount := allowance.reserve(tokens, expected)):
             async with state.lock:
                 if allowance.available < tokens:
--- a/tests/platform/test_budgets.py
+++ b/tests/platform/test_budgets.py
@@ -172,6 +172,23 @@
             await caller.turn(ENTRY_2)
         assert generated_tokens(site, 'p1') <= 870 + TURN_TOKENS
 
+    @with_platform_site()
+    async def test_a_turn_that_gets_no_tokens_is_refused_before_its_caller_leaves(
+        self, site, caller
+    ):
+        caller.budget = 870
+        assert (await caller.turn(ENTRY_1)).succeeded
+        site.service.faults.down = True
+        await asyncio.sleep(1.5)
+        replies = await asyncio.gather(*(caller.turn(ENTRY_1, limit=290) for _ in range(12)))
+        refused = [reply for reply in replies if not reply.succeeded]
+        assert refused
+        for reply in refused:
+            assert reply.status == 503
+            assert float(reply.headers['Retry-After']) > 0
+            assert reply.seconds < STREAM_GAP_LIMIT_S
+            assert not site.log.runs_of(reply.ident)
+
     @with_platform_site()
     async def test_calls_of_tools_need_no_budget(self, site, caller):
         site.service.faults.down = True
