--- a/libs/core/toucanlead_core/process_settings.py
+++ b/libs/core/toucanlead_core/process_settings.py
@@ -55,8 +55,10 @@
 
 @frozen
 class ServiceSection:
-    """The platform's key-value service, and peers to contact while it is unavailable.
+    """The platform's key-value service, and peers (`seeds`) to contact for it.
 
+    A process follows the changes that a seed watches until it knows the archives, and calls
+    the service through the seeds while the service rejects it.
     `writes_per_s` and `reads_per_s` are the service's limits for all processes together.
     """
 
