--- a/tests/platform/site.py
+++ b/tests/platform/site.py
@@ -31,6 +31,16 @@
 MANY_ARCHIVES = (*ARCHIVES, *_more_vms('archive', '10.2.0', 4, 12))
 
 
+def app_replicas(site):
+    """Return the replicas of the application."""
+    return [replica for replica in site.replicas.values() if not replica.engine]
+
+
+def engine_replicas(site):
+    """Return the replicas of the model."""
+    return [replica for replica in site.replicas.values() if replica.engine]
+
+
 def with_platform_site(**site_options):
     """Run an async test on a new site; keyword arguments go to `PlatformSite.start`."""
 
--- a/tests/platform/test_replica_faults.py
+++ b/tests/platform/test_replica_faults.py
@@ -8,15 +8,7 @@
 
 import pytest
 
-from .site import ENTRY_1, with_platform_site
-
-
-def app_replicas(site):
-    return [replica for replica in site.replicas.values() if not replica.engine]
-
-
-def engine_replicas(site):
-    return [replica for replica in site.replicas.values() if replica.engine]
+from .site import ENTRY_1, app_replicas, engine_replicas, with_platform_site
 
 
 class TestOutcomes:
