A replica's named rate limit, its age and the requests sent meanwhile are logged and counted

Cause: no log line or metric named a limit, so it could not be told whether entries ignore it, add up or retry past it.

Change: the adapter decodes the header; replica_limit_changed says the limit before and after, its age and how many requests this entry sent meanwhile; toucanlead_limited_replicas and toucanlead_sent_to_limited_replicas_total.

Measured: tests/platform passes. No decision changes.

--- a/libs/serving/toucanlead_serving/dispatch.py
+++ b/libs/serving/toucanlead_serving/dispatch.py
@@ -12,6 +12,7 @@
 
 from .registry import Registry, Replica
 from .replica_client import NotExecuted, ReplicaClient
+from .replica_limits import ReplicaLimits
 from .request import CallerReq, ReplicaCall
 
 log = structlog.get_logger()
@@ -26,6 +27,7 @@
         client: ReplicaClient,
         placement: Placement,
         prefix_estimates: PrefixCacheEstimates,
+        limits: ReplicaLimits,
         timers: Timers,
         zone: str,
         region: str,
@@ -35,6 +37,7 @@
         self.client = client
         self.placement = placement
         self._prefix_estimates = prefix_estimates
+        self.limits = limits
         self._timers = timers
         self._zone = zone
         self._region = region
@@ -70,13 +73,16 @@
         load = self.placement.load(name)
         load.outstanding += 1
         try:
+            self.limits.record_sent(replica)
             async with self.client.send(replica, call) as response:
+                self.limits.observe(replica, response.rate_limit_per_s)
                 yield response
             self.placement.record_success(name)
         except NotExecuted as exc:
             if exc.wrong_replica:
                 replica.replaced = True
             else:
+                self.limits.observe(replica, exc.rate_limit_per_s)
                 self.placement.record_full(name, self._timers.now())
             raise
         except (NotSent, OutcomeUnknown):
@@ -92,10 +98,11 @@
             self._prefix_estimates.record_prompt(replica.ident, parts, tokens)
 
     def forget_removed(self) -> None:
-        """Drop load and prefix data of replicas that no longer exist."""
+        """Drop load, prefix data and limits of replicas that no longer exist."""
         names = set(self.registry.replicas)
         self.placement.keep_only(names)
         self._prefix_estimates.keep_only(names)
+        self.limits.keep_only({replica.run for replica in self.registry.replicas.values()})
 
 
 def _candidate(replica: Replica, now: float) -> Candidate:
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -40,6 +40,7 @@
 from .metrics_server import MetricsServer, age_of
 from .registry import Registry
 from .reload import SettingsReload
+from .replica_limits import ReplicaLimits
 from .routes import CurrentRoutes
 
 log = structlog.get_logger()
@@ -86,11 +87,13 @@
             None if process.first_start else self._timers.now(),
         )
         self._replica_client = adapter.replica_client(self._timers, process.region)
+        self.limits = ReplicaLimits(self._timers, self.metrics)
         self.dispatch = Dispatch(
             self.registry,
             self._replica_client,
             Placement(rng),
             PrefixCacheEstimates(),
+            self.limits,
             self._timers,
             process.zone,
             process.region,
--- a/libs/serving/toucanlead_serving/metrics.py
+++ b/libs/serving/toucanlead_serving/metrics.py
@@ -24,6 +24,11 @@
         self._retries = Counter(
             'toucanlead_serving_retries', 'Retries', ['reason'], registry=self.registry
         )
+        self._sent_to_limited = Counter(
+            'toucanlead_sent_to_limited_replicas',
+            'Requests sent to replicas that name a rate limit',
+            registry=self.registry,
+        )
         self._latency = Histogram(
             'toucanlead_answer_seconds',
             'Time to the whole answer',
@@ -49,6 +54,10 @@
         """Count a retry."""
         self._retries.labels(reason.value).inc()
 
+    def sent_to_limited(self) -> None:
+        """Count a request to a replica that names a rate limit."""
+        self._sent_to_limited.inc()
+
     def gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each scrape."""
         Gauge(name, help_text, registry=self.registry).set_function(read)
--- a/libs/serving/toucanlead_serving/registry.py
+++ b/libs/serving/toucanlead_serving/registry.py
@@ -39,6 +39,11 @@
         """Return the replica's id."""
         return self.record.ident
 
+    @property
+    def run(self) -> str:
+        """Return a name of this run; a replica may start again under the id that it had."""
+        return f'{self.record.ident}@{self.record.started_ms}'
+
     @property
     def zone(self) -> str:
         """Return the replica's zone."""
--- a/libs/serving/toucanlead_serving/replica_client.py
+++ b/libs/serving/toucanlead_serving/replica_client.py
@@ -13,12 +13,21 @@
 class NotExecuted(PeerError):
     """Raised when a replica reports that it did not run the request.
 
-    `wrong_replica` means that another replica answered at the address.
+    `wrong_replica` means that another replica answered at the address, `rate_limit_per_s`
+    is as in ReplicaResponse.
     """
 
-    def __init__(self, detail: str, *, peer: str, wrong_replica: bool = False) -> None:
+    def __init__(
+        self,
+        detail: str,
+        *,
+        peer: str,
+        wrong_replica: bool = False,
+        rate_limit_per_s: float | None = None,
+    ) -> None:
         super().__init__(detail, step='send', peer=peer)
         self.wrong_replica = wrong_replica
+        self.rate_limit_per_s = rate_limit_per_s
 
 
 class ReplicaResponse(abc.ABC):
@@ -29,6 +38,14 @@
     def head(self) -> ReplicaResponseHead:
         """Return status and end-to-end headers."""
 
+    @property
+    @abc.abstractmethod
+    def rate_limit_per_s(self) -> float | None:
+        """Return the requests a second that the replica accepts from all entries together.
+
+        None means that it names no limit.
+        """
+
     @abc.abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise OutcomeUnknown if it ends early."""
