A limit that a replica names is shared by all entries: a keeper hands out tokens

What callers saw: nothing yet; replicas that asked for 4 requests a second got 13 to 16 from all entries together, 50 to 67 in 4 s where 29 are allowed in the test.

Cause: a rate that several processes share, and no process reads it. Class of fault: a decision on common state made by each process alone.

Evidence: replica_limit_changed shows entries that know the limit and go on; no retries (docs/incidents/replica-limits.md).

Change: for the replicas of a service in a zone, the first reachable entry of an order that all entries share keeps the rate and hands out tokens, which expire; entries ask for several at once, ahead of need, only in their nearest region. A later entry takes over when it cannot reach those before it and their tokens have expired. Without a keeper an entry uses its part of a quarter of the limit. Requests above all limits wait up to 0.5 s, the most urgent first, or are refused at once, not run, with a Retry-After from the limit. Why it works: tokens of one keeper are at most 5 s of the limit in any 4 s, the quarter adds 1 s; 6 s and 5 requests are allowed.

--- a/libs/core/toucanlead_core/errors.py
+++ b/libs/core/toucanlead_core/errors.py
@@ -63,6 +63,7 @@
     HISTORY_UNAVAILABLE = 'history_unavailable'
     BUDGET_UNAVAILABLE = 'budget_unavailable'
     REPLICAS_FULL = 'replicas_full'
+    REPLICA_LIMIT = 'replica_limit'
     STOPPING = 'stopping'
     CONFLICT = 'conflict'
     INTERNAL = 'internal'
--- a/libs/peer/toucanlead_peer/serving_grpc.py
+++ b/libs/peer/toucanlead_peer/serving_grpc.py
@@ -202,3 +202,31 @@
             serving_pb2.FollowRequest,
             serving_pb2.FeedUpdate,
         )
+
+
+class RateKeeperBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Ask(self, stream: 'grpclib.server.Stream[serving_pb2.TokenRequest, serving_pb2.TokenReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/toucanlead.RateKeeper/Ask': grpclib.const.Handler(
+                self.Ask,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                serving_pb2.TokenRequest,
+                serving_pb2.TokenReply,
+            ),
+        }
+
+
+class RateKeeperStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Ask = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/toucanlead.RateKeeper/Ask',
+            serving_pb2.TokenRequest,
+            serving_pb2.TokenReply,
+        )
--- a/libs/peer/toucanlead_peer/serving_interfaces.py
+++ b/libs/peer/toucanlead_peer/serving_interfaces.py
@@ -1,4 +1,4 @@
-"""Messages and interfaces for stored turns, token budgets, relayed key-value calls and feeds.
+"""Messages and interfaces for turns, token budgets, rate tokens, relayed calls and feeds.
 
 Entries and archives use them to call each other; serving_transport.py implements them.
 """
@@ -8,6 +8,8 @@
 
 from attrs import field, frozen
 
+from toucanlead_core.rate_messages import TokenAsk, TokenReply
+
 
 @frozen
 class Turn:
@@ -174,6 +176,22 @@
         """Take back the unused tokens of a loan and record the used ones as spent."""
 
 
+class TokenTransport(abc.ABC):
+    """Asks other entries for rate tokens; failed calls raise NotSent or OutcomeUnknown."""
+
+    @abc.abstractmethod
+    async def ask(self, address: str, ask: TokenAsk, timeout_s: float) -> TokenReply:
+        """Ask the entry at an address for tokens."""
+
+
+class TokenHandler(abc.ABC):
+    """Serves the requests for rate tokens that an entry receives."""
+
+    @abc.abstractmethod
+    async def ask_tokens(self, ask: TokenAsk) -> TokenReply:
+        """Return tokens, or decline if this entry is not the group's keeper."""
+
+
 @frozen
 class RelayedCall:
     """An HTTP call to the key-value service that a peer makes on behalf of this process."""
--- a/libs/peer/toucanlead_peer/serving_transport.py
+++ b/libs/peer/toucanlead_peer/serving_transport.py
@@ -1,7 +1,7 @@
-"""Archive, loan, relay and feed calls over grpclib, client and server side."""
+"""Archive, loan, rate token, relay and feed calls over grpclib, client and server side."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Iterable
 from contextlib import aclosing
 
 from google.protobuf.message import DecodeError
@@ -11,6 +11,7 @@
 from h2.exceptions import StreamClosedError
 
 from toucanlead_core.errors import OutcomeUnknown
+from toucanlead_core.rate_messages import LimitSighting, TokenAsk, TokenCount, TokenReply
 
 from . import serving_grpc, serving_pb2
 from .channels import RPC_ERRORS, ChannelPool
@@ -30,6 +31,8 @@
     RelayHandler,
     RelayTransport,
     StoreResult,
+    TokenHandler,
+    TokenTransport,
     Turn,
     TurnChain,
 )
@@ -132,6 +135,31 @@
         await self._channels.call(address, 'repay', rpc, timeout_s)
 
 
+class GrpcTokens(TokenTransport):
+    """Asks other entries for rate tokens over gRPC."""
+
+    def __init__(self, channels: ChannelPool) -> None:
+        """Use the channels that all calls to peers share."""
+        self._channels = channels
+
+    async def ask(self, address: str, ask: TokenAsk, timeout_s: float) -> TokenReply:
+        """Ask the entry at an address for tokens."""
+        message = serving_pb2.TokenRequest(
+            group=ask.group,
+            entry=ask.entry,
+            wanted=ask.wanted,
+            sightings=[_sighting_to_proto(sighting) for sighting in ask.sightings],
+            returned=_token_counts_to_proto(ask.returned),
+        )
+
+        async def rpc(channel: Channel) -> TokenReply:
+            reply = await serving_grpc.RateKeeperStub(channel).Ask(message, timeout=timeout_s)
+            granted = _token_counts_from_proto(reply.granted)
+            return TokenReply(granted, reply.rate_per_s, reply.declined)
+
+        return await self._channels.call(address, 'rate tokens', rpc, timeout_s)
+
+
 class GrpcRelay(RelayTransport):
     """Calls the key-value service through a peer over gRPC."""
 
@@ -230,6 +258,30 @@
         await stream.send_message(serving_pb2.RepayReply())
 
 
+class _TokenServicer(serving_grpc.RateKeeperBase):
+    def __init__(self, handler: TokenHandler) -> None:
+        self._handler = handler
+
+    async def Ask(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        reply = await self._handler.ask_tokens(
+            TokenAsk(
+                message.group,
+                message.entry,
+                message.wanted,
+                tuple(_sighting_from_proto(sighting) for sighting in message.sightings),
+                _token_counts_from_proto(message.returned),
+            )
+        )
+        await stream.send_message(
+            serving_pb2.TokenReply(
+                granted=_token_counts_to_proto(reply.granted),
+                rate_per_s=reply.rate_per_s,
+                declined=reply.declined,
+            )
+        )
+
+
 class _RelayServicer(serving_grpc.StoreRelayBase):
     def __init__(self, handler: RelayHandler) -> None:
         self._handler = handler
@@ -271,6 +323,7 @@
     loans: LoanHandler | None = None,
     relay: RelayHandler | None = None,
     feed: FeedHandler | None = None,
+    tokens: TokenHandler | None = None,
 ) -> Server:
     """Return a grpclib server for the handlers that are given, not yet started."""
     servicers = []
@@ -282,6 +335,8 @@
         servicers.append(_RelayServicer(relay))
     if feed is not None:
         servicers.append(_FeedServicer(feed))
+    if tokens is not None:
+        servicers.append(_TokenServicer(tokens))
     return Server(servicers)
 
 
@@ -320,6 +375,30 @@
     )
 
 
+def _sighting_to_proto(sighting: LimitSighting) -> serving_pb2.LimitSighting:
+    return serving_pb2.LimitSighting(
+        replica=sighting.replica,
+        per_s=sighting.per_s or 0.0,
+        ended=sighting.per_s is None,
+        age_ms=int(1e3 * sighting.age_s),
+    )
+
+
+def _sighting_from_proto(message: serving_pb2.LimitSighting) -> LimitSighting:
+    per_s = None if message.ended else message.per_s
+    return LimitSighting(message.replica, per_s, message.age_ms / 1e3)
+
+
+def _token_counts_to_proto(counts: Iterable[TokenCount]) -> list[serving_pb2.TokenCount]:
+    return [serving_pb2.TokenCount(replica=c.replica, tokens=c.tokens) for c in counts]
+
+
+def _token_counts_from_proto(
+    messages: Iterable[serving_pb2.TokenCount],
+) -> tuple[TokenCount, ...]:
+    return tuple(TokenCount(message.replica, message.tokens) for message in messages)
+
+
 def _feed_update_to_proto(update: FeedUpdate) -> serving_pb2.FeedUpdate:
     rows = [
         serving_pb2.FeedRow(
--- a/libs/policy/toucanlead_policy/placement.py
+++ b/libs/policy/toucanlead_policy/placement.py
@@ -14,6 +14,7 @@
 PREFILL_TOKENS_PER_MS = 59.0  # rate of the customers' engines
 FULL_LOAD_COST_MS = 120.0  # expected wait at a replica whose slots are all in use
 COLD_START_COST_MS = 80.0  # a replica that has just started is slower
+HELD_TOKEN_GAIN_MS = 30.0  # an unused token expires, and other replicas have to do its work
 FAILED_COST_MS = 2_000.0  # a replica that has just failed is used only if all others cost more
 FAILED_S = 2.0
 FULL_S = 0.25  # about one service time, for which a full replica usually stays full
@@ -21,13 +22,18 @@
 
 @frozen
 class Candidate:
-    """A replica that may take the request; `cold` says whether it has just started."""
+    """A replica that may take the request.
+
+    `cold` says whether it has just started, `token_held` whether this entry holds a rate
+    token for it.
+    """
 
     name: str
     zone: str
     region: str
     slots: int
     cold: bool = False
+    token_held: bool = False
 
 
 @frozen
@@ -104,6 +110,8 @@
         cost += FULL_LOAD_COST_MS * utilization * utilization
         if candidate.cold:
             cost += COLD_START_COST_MS
+        if candidate.token_held:
+            cost -= HELD_TOKEN_GAIN_MS
         if now < load.full_until:
             cost += 2 * FULL_LOAD_COST_MS
         if now < load.failed_until:
--- a/libs/serving/toucanlead_serving/dispatch.py
+++ b/libs/serving/toucanlead_serving/dispatch.py
@@ -48,14 +48,16 @@
         """Return the replica for a request, or None if no usable one is left.
 
         `avoid` excludes replicas by id; `only`, if given, restricts the choice to its ids.
+        The request must then be sent, or its token returned: it counts against the limit that
+        the replica names.
         """
         now = self._timers.now()
         usable = {
             replica.ident: replica
-            for replica in self.registry.usable(service, now)
-            if only is None or replica.ident in only
+            for replica in self._usable(service, only)
+            if self.limits.may_send(replica)
         }
-        candidates = [_candidate(replica, now) for replica in usable.values()]
+        candidates = [self._candidate(replica, now) for replica in usable.values()]
         generation = req.generation
         cached, prompt_tokens = {}, 0
         if generation is not None:
@@ -64,7 +66,34 @@
             cached = {name: self._prefix_estimates.cached_tokens(name, parts) for name in usable}
         placement_req = PlacementReq(self._zone, self._region, prompt_tokens)
         choice = self.placement.choose(placement_req, candidates, cached, now, frozenset(avoid))
-        return usable[choice.name] if choice is not None else None
+        if choice is None:
+            return None
+        replica = usable[choice.name]
+        self.limits.take(replica)
+        return replica
+
+    def _candidate(self, replica: Replica, now: float) -> Candidate:
+        record = replica.record
+        return Candidate(
+            record.ident,
+            record.zone,
+            replica.region,
+            record.slots,
+            cold=now - replica.first_seen_at < record.cold_remaining_s,
+            token_held=self.limits.holds_token(replica),
+        )
+
+    def is_limit_reached(self, service: str, only: Set[str] | None) -> bool:
+        """Return whether the limits of usable replicas are all that keeps a request waiting.
+
+        `only` is as in `choose_replica`.
+        """
+        usable = self._usable(service, only)
+        return bool(usable) and not any(self.limits.may_send(replica) for replica in usable)
+
+    def _usable(self, service: str, only: Set[str] | None) -> list[Replica]:
+        usable = self.registry.usable(service, self._timers.now())
+        return [replica for replica in usable if only is None or replica.ident in only]
 
     @asynccontextmanager
     async def send_to(self, replica: Replica, call: ReplicaCall):
@@ -73,7 +102,6 @@
         load = self.placement.load(name)
         load.outstanding += 1
         try:
-            self.limits.record_sent(replica)
             async with self.client.send(replica, call) as response:
                 self.limits.observe(replica, response.rate_limit_per_s)
                 yield response
@@ -84,8 +112,11 @@
             else:
                 self.limits.observe(replica, exc.rate_limit_per_s)
                 self.placement.record_full(name, self._timers.now())
+                self.limits.record_shortfall(replica.record.service)
             raise
-        except (NotSent, OutcomeUnknown):
+        except (NotSent, OutcomeUnknown) as exc:
+            if isinstance(exc, NotSent):
+                self.limits.give_back(replica)
             self.placement.record_failure(name, self._timers.now())
             raise
         finally:
@@ -103,14 +134,3 @@
         self.placement.keep_only(names)
         self._prefix_estimates.keep_only(names)
         self.limits.keep_only({replica.run for replica in self.registry.replicas.values()})
-
-
-def _candidate(replica: Replica, now: float) -> Candidate:
-    record = replica.record
-    return Candidate(
-        record.ident,
-        record.zone,
-        replica.region,
-        record.slots,
-        cold=now - replica.first_seen_at < record.cold_remaining_s,
-    )
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -22,6 +22,7 @@
     GrpcFeeds,
     GrpcLoans,
     GrpcRelay,
+    GrpcTokens,
     serving_server,
 )
 from toucanlead_policy.placement import Placement
@@ -38,9 +39,10 @@
 from .grants import Grants
 from .metrics import ServingMetrics
 from .metrics_server import MetricsServer, age_of
-from .registry import Registry
+from .rate_keepers import RateKeepers
+from .registry import Registry, Replica
 from .reload import SettingsReload
-from .replica_limits import ReplicaLimits
+from .replica_limits import ASK_PERIOD_S, ReplicaLimits
 from .routes import CurrentRoutes
 
 log = structlog.get_logger()
@@ -87,7 +89,20 @@
             None if process.first_start else self._timers.now(),
         )
         self._replica_client = adapter.replica_client(self._timers, process.region)
-        self.limits = ReplicaLimits(self._timers, self.metrics)
+        self.rate_keepers = RateKeepers(
+            address,
+            GrpcTokens(self._channels),
+            self._timers,
+            lambda: list(self.directory.entries.values()),
+            lambda: self.settings.zones,
+        )
+        self.limits = ReplicaLimits(
+            self._timers,
+            self.metrics,
+            self.rate_keepers,
+            self._replicas_by_distance,
+            lambda: len(self.directory.entries),
+        )
         self.dispatch = Dispatch(
             self.registry,
             self._replica_client,
@@ -109,7 +124,9 @@
         self._caller_server = adapter.caller_server(
             settings, self.forwarder, self._timers, self.is_ready
         )
-        self._peer_server = serving_server(loans=self.budgets, relay=adapter.relay_handler())
+        self._peer_server = serving_server(
+            loans=self.budgets, relay=adapter.relay_handler(), tokens=self.rate_keepers
+        )
         watched = [
             *adapter.watched_prefixes(self.routes, self.registry, self._timers.now),
             WatchedPrefix('members', PEER_PREFIX, self.directory),
@@ -124,7 +141,7 @@
         )
         self._metrics_server = MetricsServer(self.metrics, settings.listen.metrics)
         self._tasks = TaskSet()
-        self._probes: TimerHandle | None = None
+        self._timer_handles: list[TimerHandle] = []
         self._stopping = False
         self._add_gauges([item.name for item in watched])
 
@@ -138,7 +155,11 @@
         host, port = split_address(self.settings.listen.peers)
         await self._peer_server.start(host, port)
         self._tasks.spawn(self.follower.run(), 'follow')
-        self._probes = self._timers.every(PROBE_PERIOD_S, self.follower.probe_if_relayed, 'probe')
+        every = self._timers.every
+        self._timer_handles = [
+            every(PROBE_PERIOD_S, self.follower.probe_if_relayed, 'probe'),
+            every(ASK_PERIOD_S, self.limits.ask_ahead, 'rate tokens'),
+        ]
         self._tasks.spawn(self.budgets.record_debts(), 'debts')
         self._tasks.spawn(self._upkeep(), 'upkeep')
         await self._metrics_server.start()
@@ -169,6 +190,12 @@
         entries = self.directory.entries.values()
         return [entry.address for entry in entries if entry.region == region]
 
+    def _replicas_by_distance(self, service: str) -> list[Replica]:
+        """Return the usable replicas of a service, the nearest first."""
+        process = self.settings.process
+        usable = self.registry.usable(service, self._timers.now())
+        return sorted(usable, key=lambda r: (r.zone != process.zone, r.region != process.region))
+
     def _relay_peers(self) -> list[str]:
         """Return addresses of processes that can relay calls to the key-value service."""
         return self.directory.relay_addresses(self.settings)
@@ -186,6 +213,7 @@
         """
         abort_at = self._timers.now() + self.settings.times.grace_s - STOP_MARGIN_S
         self._stopping = True
+        self.rate_keepers.stopping = True
         log.info('entry_stopping', in_progress=self.forwarder.in_progress)
         self._caller_server.start_draining()
         await self._timers.sleep(UNREADY_WAIT_S)
@@ -198,7 +226,10 @@
         await self._caller_server.stop()
         await self._metrics_server.stop()
         self._peer_server.close()
-        self._probes.cancel()
+        for handle in self._timer_handles:
+            handle.cancel()
+        await self.limits.close()
+        await self.rate_keepers.close()
         await self._tasks.cancel()
         self._replica_client.close()
         self._channels.close()
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -18,6 +18,7 @@
 )
 from toucanlead_core.timers import Timers
 from toucanlead_peer.serving_interfaces import Turn
+from toucanlead_policy.limit_queue import QUEUE_S
 
 from .archive_client import ArchiveClient
 from .budgets import Budgets, Reservation
@@ -124,6 +125,7 @@
         if route is None:
             raise Refusal(Reason.NO_ROUTE, f'{req.host}{req.path}', step=Step.ROUTE)
         expires_at = min(req.deadline_at, req.arrived_at + route.timeout_s)
+        self._dispatch.limits.record_request(route.service_for(_split_key(req)))
         active = ActiveRequest(req, route, table, expires_at)
         self.in_progress += 1
         try:
@@ -375,7 +377,7 @@
         """Send to one replica after another and yield the response of the first to accept."""
         give_up_at = min(active.expires_at, self._timers.now() + FULL_WAIT_LIMIT_S)
         while True:
-            replica = self._choose_replica(active)
+            replica = await self._wait_for_replica(active)
             accepted = False
             try:
                 with active.record_attempt(replica):
@@ -388,24 +390,42 @@
                     raise
                 await self._avoid_replica(active, replica, exc, give_up_at)
 
-    def _choose_replica(self, active: ActiveRequest) -> Replica:
+    async def _wait_for_replica(self, active: ActiveRequest) -> Replica:
+        """Return the replica to send to; wait while the limits of all replicas are reached."""
         service = active.route.service_for(_split_key(active.req))
-        only = active.tried if len(active.tried) >= active.route.max_attempts else None
+        wait_until = min(active.expires_at, self._timers.now() + QUEUE_S)
+        while True:
+            replica = self._choose_replica(active, service)
+            if replica is not None:
+                return replica
+            if not self._dispatch.is_limit_reached(service, self._allowed(active)):
+                raise Refusal(
+                    Reason.NO_REPLICA,
+                    service,
+                    ran=active.ran,
+                    step=Step.ROUTE,
+                    retry_after_ms=RETRY_AFTER_MS,
+                )
+            rank = (active.route.priority, int(active.req.previous_turn is None))
+            await self._dispatch.limits.wait_for_token(
+                service, rank, active.req.arrived_at, wait_until, active.ran
+            )
+
+    def _allowed(self, active: ActiveRequest) -> set[str] | None:
+        """Return the replicas that a request may still be sent to, None for all."""
+        return active.tried if len(active.tried) >= active.route.max_attempts else None
+
+    def _choose_replica(self, active: ActiveRequest, service: str) -> Replica | None:
+        only = self._allowed(active)
         replica = self._dispatch.choose_replica(service, active.req, active.avoid, only)
-        if replica is None and only is not None:  # all tried replicas are gone or avoided
+        if replica is not None or self._dispatch.is_limit_reached(service, only):
+            return replica
+        if only is not None:  # all tried replicas are gone or avoided
             active.tried.clear()
             replica = self._dispatch.choose_replica(service, active.req, active.avoid, None)
         if replica is None and active.avoid:
             active.avoid.clear()
             replica = self._dispatch.choose_replica(service, active.req, active.avoid, None)
-        if replica is None:
-            raise Refusal(
-                Reason.NO_REPLICA,
-                service,
-                ran=active.ran,
-                step=Step.ROUTE,
-                retry_after_ms=RETRY_AFTER_MS,
-            )
         return replica
 
     async def _avoid_replica(
