--- a/libs/policy/toucanlead_policy/rate_keeper.py
+++ b/libs/policy/toucanlead_policy/rate_keeper.py
@@ -58,18 +58,16 @@
     def rate_per_s(self) -> float:
         return sum(rate.rate_per_s for rate in self.rates.values())
 
-    def part_of(self, wanted: int) -> float:
-        """Return an entry's part of all tokens, by what all entries want."""
-        total = sum(demand.wanted for demand in self.demand.values())
-        return wanted / total if total else 1.0
+    def total_wanted(self) -> int:
+        return sum(demand.wanted for demand in self.demand.values())
 
     def add_credit(self, now: float) -> None:
         """Set the tokens of the time since the last ask aside for the entries that want them."""
         tokens = (now - self.credited_at) * self.rate_per_s()
         self.credited_at = now
+        per_wanted = tokens / max(1, self.total_wanted())
         for demand in self.demand.values():
-            credit = demand.credit + tokens * self.part_of(demand.wanted)
-            demand.credit = min(demand.wanted, credit)
+            demand.credit = min(demand.wanted, demand.credit + per_wanted * demand.wanted)
 
     def tokens_for(self, entry: str) -> int:
         """Return how many tokens an entry may take: its credit, and what nobody else wants."""
@@ -108,7 +106,8 @@
         granted = _grant(group.rates, ask.wanted, group.tokens_for(ask.entry))
         taken = sum(count.tokens for count in granted)
         demand.credit = max(0.0, demand.credit - taken)
-        return TokenReply(tuple(granted), group.rate_per_s() * group.part_of(ask.wanted))
+        part = ask.wanted / max(1, group.total_wanted())
+        return TokenReply(tuple(granted), part * group.rate_per_s())
 
     def _drop_old(self, group: _Group, now: float) -> None:
         for replica, rate in list(group.rates.items()):
