Crashes of replicas are told from lost answers and logged with what ran there

Cause: request_ended names ids that change with each try; nothing said whether a replica crashed, nor what stays the same when a request comes again.

Change: each request has a content id (method, host, target, body); when requests break off, CrashWatch finds out whether all connections have ended and new ones are refused, and logs replica_crashed with the contents without output.

No decision changes.

--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -32,6 +32,7 @@
 from .archive_client import ArchiveClient
 from .budgets import Budgets
 from .change_follower import PROBE_PERIOD_S, ChangeFollower
+from .crash_watch import CrashWatch
 from .debts import ArchiveDebtStore
 from .direct_watch import WatchedSink
 from .dispatch import Dispatch
@@ -113,11 +114,13 @@
             process.zone,
             process.region,
         )
+        self.crash_watch = CrashWatch(self._replica_client, self._timers)
         self.forwarder = Forwarder(
             self.routes,
             self.dispatch,
             self.archive_client,
             self.budgets,
+            self.crash_watch,
             self._timers,
             self.metrics,
         )
@@ -228,6 +231,7 @@
         self._peer_server.close()
         for handle in self._timer_handles:
             handle.cancel()
+        await self.crash_watch.close()
         await self.limits.close()
         await self.rate_keepers.close()
         await self._tasks.cancel()
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from toucanlead_backends.http_connection import MAX_BODY_BYTES, join_chunks
+from toucanlead_core.crash_messages import BrokenRequest
 from toucanlead_core.errors import (
     ExecutionStatus,
     NotSent,
@@ -22,6 +23,7 @@
 
 from .archive_client import ArchiveClient
 from .budgets import Budgets, Reservation
+from .crash_watch import CrashWatch
 from .dispatch import Dispatch
 from .events import EventSplitter, StreamEvent
 from .metrics import ServingMetrics
@@ -52,12 +54,14 @@
     route: Route
     table: RouteTable
     expires_at: float
+    content: str
     sends: int = 0
     may_have_run: bool = False
     avoid: set[str] = field(factory=set)
     tried: set[str] = field(factory=set)
     reservation: Reservation | None = None
     events: list[StreamEvent] = field(factory=list)
+    events_before_send: int = 0
     stream_bytes: int = 0
     replica: Replica | None = None
     status: int = 0
@@ -77,6 +81,7 @@
         """
         ran_before, tried_before = self.may_have_run, replica.ident in self.tried
         self.replica = replica
+        self.events_before_send = len(self.events)
         self.may_have_run = True
         self.tried.add(replica.ident)
         self.sends += 1
@@ -99,6 +104,7 @@
         dispatch: Dispatch,
         archive_client: ArchiveClient,
         budgets: Budgets,
+        crash_watch: CrashWatch,
         timers: Timers,
         metrics: ServingMetrics,
     ) -> None:
@@ -106,6 +112,7 @@
         self._dispatch = dispatch
         self._archive_client = archive_client
         self._budgets = budgets
+        self._crash_watch = crash_watch
         self._timers = timers
         self._metrics = metrics
         self._shielded_tasks: set[asyncio.Task] = set()
@@ -126,7 +133,7 @@
             raise Refusal(Reason.NO_ROUTE, f'{req.host}{req.path}', step=Step.ROUTE)
         expires_at = min(req.deadline_at, req.arrived_at + route.timeout_s)
         self._dispatch.limits.record_request(route.service_for(_split_key(req)))
-        active = ActiveRequest(req, route, table, expires_at)
+        active = ActiveRequest(req, route, table, expires_at, req.content_id())
         self.in_progress += 1
         try:
             if route.kind is RouteKind.UNSAFE:
@@ -168,6 +175,7 @@
             'route': active.route.name,
             'config': active.table.version,
             'replica': active.replica.ident if active.replica else '',
+            'content': active.content,
             'status': active.status,
             'sends': active.sends,
             'events': len(active.events),
@@ -464,6 +472,8 @@
         It may go to the same replica again, or to another one within the route's
         `max_attempts` or when none of those tried before is left.
         """
+        produced = len(active.events) > active.events_before_send
+        self._crash_watch.record_break(active.replica, BrokenRequest(active.content, produced))
         if active.route.repeatable and active.sends < MAX_SENDS:
             log.info('sent_again', request=active.req.ident, error=str(exc))
             self._metrics.retried(RetryReason.ANSWER_LOST)
--- a/libs/serving/toucanlead_serving/replica_client.py
+++ b/libs/serving/toucanlead_serving/replica_client.py
@@ -69,6 +69,13 @@
     def open_connections(self, replica: Replica) -> int:
         """Return the number of open connections to a replica."""
 
+    @abc.abstractmethod
+    async def is_down(self, replica: Replica) -> bool:
+        """Return whether a replica has ended: no connection is open, and none is accepted.
+
+        It is not down if it does not answer at all.
+        """
+
     @abc.abstractmethod
     def keep_only(self, replicas: list[Replica]) -> None:
         """Close connections to replicas not in the list, once they are idle."""
--- a/libs/serving/toucanlead_serving/request.py
+++ b/libs/serving/toucanlead_serving/request.py
@@ -1,9 +1,12 @@
 """Types for callers' requests and their responses, independent of the protocol."""
 
 import abc
+import hashlib
 
 from attrs import field, frozen
 
+CONTENT_ID_BYTES = 12  # of the digest
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -61,6 +64,17 @@
     previous_turn: str | None = None
     resume_after: str | None = None
 
+    def content_id(self) -> str:
+        """Return what identifies a request that comes again: all but ids, headers and caller.
+
+        No header says who the caller is; the same content is the same request.
+        """
+        digest = hashlib.blake2b(digest_size=CONTENT_ID_BYTES)
+        for part in (self.method, self.host, self.target):
+            digest.update(part.encode('utf-8', 'surrogateescape') + b'\0')
+        digest.update(self.body)
+        return digest.hexdigest()
+
     @property
     def path(self) -> str:
         """Return the target without the query string."""
