A request that crashes replicas is held back by all entries after the third crash

Cause: nothing remembers a request beyond one try; each retry, at whatever entry, is new. Class of fault: a retry whose risk is shared, decided by each try alone.

Evidence: replica_crashed shows one content without output at each crash, at three entries, and bystanders at most once (docs/incidents/crashing-requests.md).

Change: entries report crashes, with what broke off without output, to two judges, the first entries of an order that all share. Three crashes that nothing else explains better are a verdict, on the whole content or on its beginning; it is written to the key-value service, or told directly while that is away, and holds for 300 s. Refused at once: 503 not run, crashes_replicas. What was answered lately is no suspect, an answer withdraws a verdict. A suspect runs once at a time at an entry, and one try crashes two replicas at most.

--- a/libs/core/toucanlead_core/crash_messages.py
+++ b/libs/core/toucanlead_core/crash_messages.py
@@ -17,7 +17,25 @@
 
 @frozen
 class CrashReport:
-    """The requests of one entry that broke off when a run of a replica crashed."""
+    """The requests of one entry that broke off when a run of a replica crashed.
 
-    replica: str
-    requests: tuple[BrokenRequest, ...]
+    `cleared` are contents reported before that have since been answered in full.
+    """
+
+    replica: str = ''
+    requests: tuple[BrokenRequest, ...] = ()
+    cleared: tuple[str, ...] = ()
+
+
+@frozen
+class CrashVerdict:
+    """A content that crashes the replicas that run it; it is sent to none for a while.
+
+    `crashes` is how many replicas it crashed, `judge` the entry that found out.
+    `withdrawn` means that it was answered after all.
+    """
+
+    content: str
+    crashes: int
+    judge: str
+    withdrawn: bool = False
--- a/libs/core/toucanlead_core/errors.py
+++ b/libs/core/toucanlead_core/errors.py
@@ -64,6 +64,7 @@
     BUDGET_UNAVAILABLE = 'budget_unavailable'
     REPLICAS_FULL = 'replicas_full'
     REPLICA_LIMIT = 'replica_limit'
+    CRASHES_REPLICAS = 'crashes_replicas'
     STOPPING = 'stopping'
     CONFLICT = 'conflict'
     INTERNAL = 'internal'
--- a/libs/kv/toucanlead_kv/watch.py
+++ b/libs/kv/toucanlead_kv/watch.py
@@ -45,6 +45,23 @@
         """Ignore changes."""
 
 
+class TeeSink(ChangeSink):
+    """Passes everything on to several sinks."""
+
+    def __init__(self, *sinks: ChangeSink) -> None:
+        self._sinks = sinks
+
+    def replace(self, entries: list[KvEntry]) -> None:
+        """Pass a snapshot on."""
+        for sink in self._sinks:
+            sink.replace(entries)
+
+    def apply(self, events: list[WatchEvent]) -> None:
+        """Pass changes on."""
+        for sink in self._sinks:
+            sink.apply(events)
+
+
 class PrefixWatcher:
     """Watches a prefix by long polling and passes its entries and changes to a sink.
 
--- a/libs/peer/toucanlead_peer/serving_grpc.py
+++ b/libs/peer/toucanlead_peer/serving_grpc.py
@@ -230,3 +230,47 @@
             serving_pb2.TokenRequest,
             serving_pb2.TokenReply,
         )
+
+
+class CrashJudgeBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def Report(self, stream: 'grpclib.server.Stream[serving_pb2.CrashReport, serving_pb2.CrashReportReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Tell(self, stream: 'grpclib.server.Stream[serving_pb2.CrashVerdict, serving_pb2.CrashVerdictReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/toucanlead.CrashJudge/Report': grpclib.const.Handler(
+                self.Report,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                serving_pb2.CrashReport,
+                serving_pb2.CrashReportReply,
+            ),
+            '/toucanlead.CrashJudge/Tell': grpclib.const.Handler(
+                self.Tell,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                serving_pb2.CrashVerdict,
+                serving_pb2.CrashVerdictReply,
+            ),
+        }
+
+
+class CrashJudgeStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Report = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/toucanlead.CrashJudge/Report',
+            serving_pb2.CrashReport,
+            serving_pb2.CrashReportReply,
+        )
+        self.Tell = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/toucanlead.CrashJudge/Tell',
+            serving_pb2.CrashVerdict,
+            serving_pb2.CrashVerdictReply,
+        )
--- a/libs/peer/toucanlead_peer/serving_interfaces.py
+++ b/libs/peer/toucanlead_peer/serving_interfaces.py
@@ -8,6 +8,7 @@
 
 from attrs import field, frozen
 
+from toucanlead_core.crash_messages import CrashReport, CrashVerdict
 from toucanlead_core.rate_messages import TokenAsk, TokenReply
 
 
@@ -192,6 +193,30 @@
         """Return tokens, or decline if this entry is not the group's keeper."""
 
 
+class CrashTransport(abc.ABC):
+    """Tells other entries of crashes; failed calls raise NotSent or OutcomeUnknown."""
+
+    @abc.abstractmethod
+    async def report(self, address: str, report: CrashReport, timeout_s: float) -> None:
+        """Report a crash to a judge."""
+
+    @abc.abstractmethod
+    async def tell(self, address: str, verdict: CrashVerdict, timeout_s: float) -> None:
+        """Tell an entry of a verdict."""
+
+
+class CrashHandler(abc.ABC):
+    """Serves the calls about crashes that an entry receives."""
+
+    @abc.abstractmethod
+    async def record_crash(self, report: CrashReport) -> None:
+        """Judge a report of a crash."""
+
+    @abc.abstractmethod
+    async def record_verdict(self, verdict: CrashVerdict) -> None:
+        """Accept a verdict from its judge."""
+
+
 @frozen
 class RelayedCall:
     """An HTTP call to the key-value service that a peer makes on behalf of this process."""
--- a/libs/peer/toucanlead_peer/serving_transport.py
+++ b/libs/peer/toucanlead_peer/serving_transport.py
@@ -10,6 +10,7 @@
 from grpclib.server import Server, Stream
 from h2.exceptions import StreamClosedError
 
+from toucanlead_core.crash_messages import BrokenRequest, CrashReport, CrashVerdict
 from toucanlead_core.errors import OutcomeUnknown
 from toucanlead_core.rate_messages import LimitSighting, TokenAsk, TokenCount, TokenReply
 
@@ -18,6 +19,8 @@
 from .serving_interfaces import (
     ArchiveHandler,
     ArchiveTransport,
+    CrashHandler,
+    CrashTransport,
     FeedHandler,
     FeedRow,
     FeedTransport,
@@ -160,6 +163,43 @@
         return await self._channels.call(address, 'rate tokens', rpc, timeout_s)
 
 
+class GrpcCrashes(CrashTransport):
+    """Tells other entries of crashes over gRPC."""
+
+    def __init__(self, channels: ChannelPool) -> None:
+        """Use the channels that all calls to peers share."""
+        self._channels = channels
+
+    async def report(self, address: str, report: CrashReport, timeout_s: float) -> None:
+        """Report a crash to a judge."""
+        requests = [
+            serving_pb2.BrokenRequest(content=request.content, produced=request.produced)
+            for request in report.requests
+        ]
+        message = serving_pb2.CrashReport(
+            replica=report.replica, requests=requests, cleared=report.cleared
+        )
+
+        async def rpc(channel: Channel) -> None:
+            await serving_grpc.CrashJudgeStub(channel).Report(message, timeout=timeout_s)
+
+        await self._channels.call(address, 'crash report', rpc, timeout_s)
+
+    async def tell(self, address: str, verdict: CrashVerdict, timeout_s: float) -> None:
+        """Tell an entry of a verdict."""
+        message = serving_pb2.CrashVerdict(
+            content=verdict.content,
+            crashes=verdict.crashes,
+            judge=verdict.judge,
+            withdrawn=verdict.withdrawn,
+        )
+
+        async def rpc(channel: Channel) -> None:
+            await serving_grpc.CrashJudgeStub(channel).Tell(message, timeout=timeout_s)
+
+        await self._channels.call(address, 'crash verdict', rpc, timeout_s)
+
+
 class GrpcRelay(RelayTransport):
     """Calls the key-value service through a peer over gRPC."""
 
@@ -282,6 +322,25 @@
         )
 
 
+class _CrashServicer(serving_grpc.CrashJudgeBase):
+    def __init__(self, handler: CrashHandler) -> None:
+        self._handler = handler
+
+    async def Report(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        requests = (BrokenRequest(item.content, item.produced) for item in message.requests)
+        report = CrashReport(message.replica, tuple(requests), tuple(message.cleared))
+        await self._handler.record_crash(report)
+        await stream.send_message(serving_pb2.CrashReportReply())
+
+    async def Tell(self, stream: Stream) -> None:  # noqa: N802 - generated name
+        message = await stream.recv_message()
+        await self._handler.record_verdict(
+            CrashVerdict(message.content, message.crashes, message.judge, message.withdrawn)
+        )
+        await stream.send_message(serving_pb2.CrashVerdictReply())
+
+
 class _RelayServicer(serving_grpc.StoreRelayBase):
     def __init__(self, handler: RelayHandler) -> None:
         self._handler = handler
@@ -324,6 +383,7 @@
     relay: RelayHandler | None = None,
     feed: FeedHandler | None = None,
     tokens: TokenHandler | None = None,
+    crashes: CrashHandler | None = None,
 ) -> Server:
     """Return a grpclib server for the handlers that are given, not yet started."""
     servicers = []
@@ -337,6 +397,8 @@
         servicers.append(_FeedServicer(feed))
     if tokens is not None:
         servicers.append(_TokenServicer(tokens))
+    if crashes is not None:
+        servicers.append(_CrashServicer(crashes))
     return Server(servicers)
 
 
--- a/libs/serving/toucanlead_serving/crash_watch.py
+++ b/libs/serving/toucanlead_serving/crash_watch.py
@@ -8,14 +8,14 @@
 from collections.abc import Awaitable, Callable
 
 import structlog
-from attrs import define, field
+from attrs import define, field, frozen
 
-from toucanlead_core.crash_messages import BrokenRequest, CrashReport
 from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import Timers
 
 from .registry import Replica
 from .replica_client import ReplicaClient
+from .request import ContentIds
 
 log = structlog.get_logger()
 
@@ -24,6 +24,14 @@
 MAX_LOGGED = 16
 
 
+@frozen
+class BrokenAnswer:
+    """A request whose answer broke off; `produced` says whether output of it had come."""
+
+    content: ContentIds
+    produced: bool
+
+
 @define(eq=False)
 class CrashWatch:
     """The requests that have just broken off, by run of the replica.
@@ -33,18 +41,18 @@
 
     _client: ReplicaClient
     _timers: Timers
-    on_crash: Callable[[CrashReport], Awaitable[None]] | None = None
-    _broken: dict[str, list[BrokenRequest]] = field(factory=dict)
+    on_crash: Callable[[Replica, list[BrokenAnswer]], Awaitable[None]] | None = None
+    _broken: dict[str, list[BrokenAnswer]] = field(factory=dict)
     _tasks: TaskSet = field(factory=TaskSet)
 
-    def record_break(self, replica: Replica, broken: BrokenRequest) -> None:
+    def record_break(self, replica: Replica, content: ContentIds, produced: bool) -> None:
         """Record that the answer to a request broke off."""
         requests = self._broken.get(replica.run)
         if requests is None:
             requests = self._broken[replica.run] = []
             self._tasks.spawn(self._investigate(replica), 'crash watch')
         if len(requests) < MAX_BROKEN:
-            requests.append(broken)
+            requests.append(BrokenAnswer(content, produced))
 
     async def close(self) -> None:
         """Cancel the investigations in progress."""
@@ -58,8 +66,7 @@
             requests = self._broken.pop(replica.run)
         if not crashed:
             return
-        report = CrashReport(replica.run, tuple(requests))
-        contents = [request.content for request in requests if not request.produced]
+        contents = [request.content.whole for request in requests if not request.produced]
         log.info(
             'replica_crashed',
             replica=replica.ident,
@@ -69,4 +76,4 @@
             contents=','.join(dict.fromkeys(contents[:MAX_LOGGED])),
         )
         if self.on_crash is not None:
-            await self.on_crash(report)
+            await self.on_crash(replica, requests)
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -16,9 +16,11 @@
 from toucanlead_core.sockets import split_address
 from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import LoopTimers, TimerHandle
+from toucanlead_kv.watch import TeeSink
 from toucanlead_peer.channels import ChannelPool
 from toucanlead_peer.serving_transport import (
     GrpcArchives,
+    GrpcCrashes,
     GrpcFeeds,
     GrpcLoans,
     GrpcRelay,
@@ -32,6 +34,7 @@
 from .archive_client import ArchiveClient
 from .budgets import Budgets
 from .change_follower import PROBE_PERIOD_S, ChangeFollower
+from .crash_verdicts import CrashVerdicts
 from .crash_watch import CrashWatch
 from .debts import ArchiveDebtStore
 from .direct_watch import WatchedSink
@@ -114,13 +117,22 @@
             process.zone,
             process.region,
         )
-        self.crash_watch = CrashWatch(self._replica_client, self._timers)
+        self.verdicts = CrashVerdicts(
+            address,
+            GrpcCrashes(self._channels),
+            self._store,
+            self._timers,
+            lambda: list(self.directory.entries.values()),
+            self.metrics,
+        )
+        self.crash_watch = CrashWatch(self._replica_client, self._timers, self.verdicts.report)
         self.forwarder = Forwarder(
             self.routes,
             self.dispatch,
             self.archive_client,
             self.budgets,
             self.crash_watch,
+            self.verdicts,
             self._timers,
             self.metrics,
         )
@@ -128,11 +140,14 @@
             settings, self.forwarder, self._timers, self.is_ready
         )
         self._peer_server = serving_server(
-            loans=self.budgets, relay=adapter.relay_handler(), tokens=self.rate_keepers
+            loans=self.budgets,
+            relay=adapter.relay_handler(),
+            tokens=self.rate_keepers,
+            crashes=self.verdicts,
         )
         watched = [
             *adapter.watched_prefixes(self.routes, self.registry, self._timers.now),
-            WatchedPrefix('members', PEER_PREFIX, self.directory),
+            WatchedPrefix('members', PEER_PREFIX, TeeSink(self.directory, self.verdicts)),
         ]
         self.follower = ChangeFollower(
             self._store,
@@ -232,6 +247,7 @@
         for handle in self._timer_handles:
             handle.cancel()
         await self.crash_watch.close()
+        await self.verdicts.close()
         await self.limits.close()
         await self.rate_keepers.close()
         await self._tasks.cancel()
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -7,7 +7,6 @@
 from attrs import define, field
 
 from toucanlead_backends.http_connection import MAX_BODY_BYTES, join_chunks
-from toucanlead_core.crash_messages import BrokenRequest
 from toucanlead_core.errors import (
     ExecutionStatus,
     NotSent,
@@ -23,13 +22,14 @@
 
 from .archive_client import ArchiveClient
 from .budgets import Budgets, Reservation
+from .crash_verdicts import CrashVerdicts
 from .crash_watch import CrashWatch
 from .dispatch import Dispatch
 from .events import EventSplitter, StreamEvent
 from .metrics import ServingMetrics
 from .registry import Replica
 from .replica_client import NotExecuted, ReplicaResponse
-from .request import CallerReq, ReplicaCall, ResponseSink
+from .request import CallerReq, ContentIds, ReplicaCall, ResponseSink
 from .routes import CurrentRoutes, Route, RouteKind, RouteTable
 
 log = structlog.get_logger()
@@ -38,6 +38,7 @@
 FULL_RETRY_DELAY_S = 0.03
 RETRY_AFTER_MS = 400
 MAX_SENDS = 4  # per repeatable request
+MAX_CRASHES = 2  # of replicas under one request, which may be the cause
 MIN_STALL_S = 1.0  # callers abandon a stream after a pause of two seconds
 STALL_GAPS = 4  # how many times the longest pause for an answer in time counts as a stall
 
@@ -54,8 +55,9 @@
     route: Route
     table: RouteTable
     expires_at: float
-    content: str
+    content: ContentIds
     sends: int = 0
+    crashes: int = 0
     may_have_run: bool = False
     avoid: set[str] = field(factory=set)
     tried: set[str] = field(factory=set)
@@ -105,6 +107,7 @@
         archive_client: ArchiveClient,
         budgets: Budgets,
         crash_watch: CrashWatch,
+        verdicts: CrashVerdicts,
         timers: Timers,
         metrics: ServingMetrics,
     ) -> None:
@@ -113,6 +116,7 @@
         self._archive_client = archive_client
         self._budgets = budgets
         self._crash_watch = crash_watch
+        self._verdicts = verdicts
         self._timers = timers
         self._metrics = metrics
         self._shielded_tasks: set[asyncio.Task] = set()
@@ -133,7 +137,7 @@
             raise Refusal(Reason.NO_ROUTE, f'{req.host}{req.path}', step=Step.ROUTE)
         expires_at = min(req.deadline_at, req.arrived_at + route.timeout_s)
         self._dispatch.limits.record_request(route.service_for(_split_key(req)))
-        active = ActiveRequest(req, route, table, expires_at, req.content_id())
+        active = ActiveRequest(req, route, table, expires_at, req.content_ids())
         self.in_progress += 1
         try:
             if route.kind is RouteKind.UNSAFE:
@@ -149,6 +153,7 @@
         try:
             await self._forward_in_time(active, sink)
             outcome = 'answered'
+            self._verdicts.record_answer(active.content)
         except Refusal as refusal:
             outcome = refusal.reason.value
             active.detail = refusal.detail
@@ -175,7 +180,7 @@
             'route': active.route.name,
             'config': active.table.version,
             'replica': active.replica.ident if active.replica else '',
-            'content': active.content,
+            'content': active.content.whole,
             'status': active.status,
             'sends': active.sends,
             'events': len(active.events),
@@ -201,12 +206,14 @@
             log.debug('request_ended', error=repr(task.exception()))
 
     async def _forward_in_time(self, active: ActiveRequest, sink: ResponseSink) -> None:
+        self._verdicts.check(active.content, active.ran)
         try:
             async with asyncio.timeout_at(active.expires_at):
-                if active.route.kind is RouteKind.STREAM:
-                    await self._forward_stream(active, sink)
-                else:
-                    await self._forward_whole(active, sink)
+                with self._verdicts.running(active.content):
+                    if active.route.kind is RouteKind.STREAM:
+                        await self._forward_stream(active, sink)
+                    else:
+                        await self._forward_whole(active, sink)
         except TimeoutError:
             raise self._deadline_refusal(active) from None
 
@@ -227,7 +234,7 @@
                     body = await self._read_body(active, response)
                     head = response.head
             except OutcomeUnknown as exc:
-                self._check_resend(active, exc)
+                await self._check_resend(active, exc)
                 continue
             active.status = head.status
             await sink.send_head(head, len(body))
@@ -251,7 +258,7 @@
                             return
                         await self._write_events(active, response, sink)
                 except OutcomeUnknown as exc:
-                    self._check_resend(active, exc)
+                    await self._check_resend(active, exc)
                     continue
                 break
             self._dispatch.record_generated(
@@ -400,6 +407,7 @@
 
     async def _wait_for_replica(self, active: ActiveRequest) -> Replica:
         """Return the replica to send to; wait while the limits of all replicas are reached."""
+        self._verdicts.check(active.content, active.ran)
         service = active.route.service_for(_split_key(active.req))
         wait_until = min(active.expires_at, self._timers.now() + QUEUE_S)
         while True:
@@ -466,15 +474,18 @@
         if reason is RetryReason.REPLICA_BUSY:
             await self._timers.sleep(FULL_RETRY_DELAY_S)
 
-    def _check_resend(self, active: ActiveRequest, exc: OutcomeUnknown) -> None:
+    async def _check_resend(self, active: ActiveRequest, exc: OutcomeUnknown) -> None:
         """Raise Refusal unless the request may be sent again.
 
         It may go to the same replica again, or to another one within the route's
         `max_attempts` or when none of those tried before is left.
         """
         produced = len(active.events) > active.events_before_send
-        self._crash_watch.record_break(active.replica, BrokenRequest(active.content, produced))
-        if active.route.repeatable and active.sends < MAX_SENDS:
+        self._crash_watch.record_break(active.replica, active.content, produced)
+        if active.route.repeatable and not produced:
+            active.crashes += await self._dispatch.client.is_down(active.replica)
+        may_resend = active.sends < MAX_SENDS and active.crashes < MAX_CRASHES
+        if active.route.repeatable and may_resend:
             log.info('sent_again', request=active.req.ident, error=str(exc))
             self._metrics.retried(RetryReason.ANSWER_LOST)
             return
--- a/libs/serving/toucanlead_serving/request.py
+++ b/libs/serving/toucanlead_serving/request.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 CONTENT_ID_BYTES = 12  # of the digest
+BEGINNING_BYTES = 512  # of a body
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -47,6 +48,17 @@
     budget: int | None = None
 
 
+@frozen
+class ContentIds:
+    """Digests of what a request asks for: all of it, and its beginning.
+
+    A turn comes again with more or less after its beginning, depending on what went before.
+    """
+
+    whole: str
+    beginning: str
+
+
 @frozen
 class CallerReq:
     """One request of a caller; times are loop times in seconds."""
@@ -64,7 +76,7 @@
     previous_turn: str | None = None
     resume_after: str | None = None
 
-    def content_id(self) -> str:
+    def content_ids(self) -> ContentIds:
         """Return what identifies a request that comes again: all but ids, headers and caller.
 
         No header says who the caller is; the same content is the same request.
@@ -72,8 +84,10 @@
         digest = hashlib.blake2b(digest_size=CONTENT_ID_BYTES)
         for part in (self.method, self.host, self.target):
             digest.update(part.encode('utf-8', 'surrogateescape') + b'\0')
-        digest.update(self.body)
-        return digest.hexdigest()
+        whole = digest.copy()
+        whole.update(self.body)
+        digest.update(self.body[:BEGINNING_BYTES])
+        return ContentIds(f'whole:{whole.hexdigest()}', f'beginning:{digest.hexdigest()}')
 
     @property
     def path(self) -> str:
--- a/tests/platform/load.py
+++ b/tests/platform/load.py
@@ -1,12 +1,27 @@
 """Open-loop load on a simulated site, and a check of the limits that replicas name."""
 
 import asyncio
+import itertools
 import random
 
+from toucanlead_platform_standins.caller import Caller
+
 LIMIT_WINDOW_S = 4.0
 LIMIT_SETTLE_S = 4.0  # from the first answer that names a limit until it must be kept
 LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5  # what the platform's pages allow beyond a limit
 
+PROGRAMS = itertools.count()  # numbers for the names of programs
+
+
+def turns(caller, shares):
+    """Return the calls of a load of first turns, with the share of each entry."""
+
+    def call(vm):
+        program = Caller(f'load-{next(PROGRAMS)}', pools=caller.pools)
+        return program.resumable_turn(vm)
+
+    return {lambda vm=vm: call(vm): share for vm, share in shares.items()}
+
 
 async def play_load(calls, per_s, seconds, seed=1):
     """Make random calls at a mean rate, whatever they take, and return their replies.
--- a/tests/platform/test_replica_limits.py
+++ b/tests/platform/test_replica_limits.py
@@ -1,14 +1,13 @@
 """Limits that replicas name, kept by all entries together."""
 
 import asyncio
-import itertools
 
 import pytest
 
 from toucanlead_platform_standins.caller import Caller
 from toucanlead_platform_standins.site import ENGINES, ENTRIES, configuration
 
-from .load import name_limits, play_load, replicas_over_limit
+from .load import PROGRAMS, name_limits, play_load, replicas_over_limit, turns
 from .site import (
     ENTRY_1,
     ENTRY_2,
@@ -22,17 +21,6 @@
 SKEWED = {ENTRY_1: 0.6, ENTRY_2: 0.3, ENTRY_3: 0.1}
 LIMIT_PER_S = 4.0
 REFUSED_AT_ONCE_S = 0.6  # a wait for a token, at its longest, and the way
-_PROGRAMS = itertools.count()
-
-
-def turns(caller, shares):
-    """Return the calls of a load of first turns, with the share of each entry."""
-
-    def call(vm):
-        program = Caller(f'load-{next(_PROGRAMS)}', pools=caller.pools)
-        return program.resumable_turn(vm)
-
-    return {lambda vm=vm: call(vm): share for vm, share in shares.items()}
 
 
 class TestLimitOfAReplica:
@@ -151,7 +139,7 @@
         site.configure(document)
         name_limits(engine_replicas(site), LIMIT_PER_S)
         urgent = {
-            lambda: Caller(f'u{next(_PROGRAMS)}', pools=caller.pools).turn(ENTRY_1): 0.15,
+            lambda: Caller(f'u{next(PROGRAMS)}', pools=caller.pools).turn(ENTRY_1): 0.15,
         }
         load = {**urgent, **dict.fromkeys(turns(caller, {ENTRY_1: 1.0}), 0.85)}
         await play_load(load, per_s=20.0, seconds=4.0)
