A first grant at the end of an outage counts debts that are not recorded yet

What callers saw: nothing; a program got up to 423 tokens more than its budget and one turn allow.

Cause: an entry that believes the key-value service unavailable skipped the search for debts, because only the coordinator grants then. It then tried the service, which had just come back, and took a first grant beside the debt. Class of fault: a check and the act that it guards look at different moments.

Change: no request for a grant without the search; while no attempt is due, the service is not tried at all.

Measured: the test failed before and passes; the other budget tests pass.

--- a/libs/serving/toucanlead_serving/budgets.py
+++ b/libs/serving/toucanlead_serving/budgets.py
@@ -362,6 +362,9 @@
 
     async def _request_grant(self, search: _TokenSearch) -> str:
         allowance = search.allowance
+        if not self._grants.attempt_due:
+            await self._obtain_without_service(search)
+            return 'the key-value service does not answer'
         search.state.requesting_grant = True
         try:
             debt = await self._find_unrecorded_debt(allowance)
@@ -407,8 +410,6 @@
         no_lookup_needed = allowance.revision or allowance.debt or no_outage_seen
         if no_lookup_needed or self._timers.now() - last_disruption_at > DEBT_RETENTION_S:
             return None
-        if self._grants.unavailable_since is not None:
-            return None  # in an outage, the coordinator checks for debts when it adds one
         return await self._debts.find(allowance.program)
 
     async def _obtain_without_service(self, search: _TokenSearch) -> None:
--- a/libs/serving/toucanlead_serving/grants.py
+++ b/libs/serving/toucanlead_serving/grants.py
@@ -51,6 +51,11 @@
         self.last_outage_at: float | None = None
         self.unavailable_since: float | None = None
 
+    @property
+    def attempt_due(self) -> bool:
+        """Return whether `take` would try the service now."""
+        return self._next_attempt_at is None or self._timers.now() >= self._next_attempt_at
+
     async def take(
         self, allowance: Allowance, tokens: int, *, may_retry: bool = True
     ) -> GrantOutcome:
@@ -111,13 +116,10 @@
             await self._return_batch(allowances[start : start + RETURN_BATCH])
 
     def _may_attempt(self) -> bool:
-        if self._next_attempt_at is None:
-            return True
-        now = self._timers.now()
-        if now < self._next_attempt_at:
-            return False
-        self._next_attempt_at = now + sum(ATTEMPT_TIMEOUTS_S)
-        return True
+        due = self.attempt_due
+        if due and self._next_attempt_at is not None:
+            self._next_attempt_at = self._timers.now() + sum(ATTEMPT_TIMEOUTS_S)
+        return due
 
     def _mark_unavailable(self) -> None:
         now = self._timers.now()
--- a/tests/platform/test_budgets.py
+++ b/tests/platform/test_budgets.py
@@ -15,9 +15,9 @@
 from toucanlead_platform_standins.caller import Caller
 from toucanlead_platform_standins.site import BOOKING_PATH
 from toucanlead_serving.budgets import Budgets
-from toucanlead_serving.debts import DebtStore
+from toucanlead_serving.debts import Debt, DebtStore
 from toucanlead_serving.grant_witnesses import WITNESSES
-from toucanlead_serving.grants import Grants
+from toucanlead_serving.grants import SERVICE_RETRY_S, Grants
 from toucanlead_standins.kv_model import KvModel
 from toucanlead_standins.memory_network import MemoryLoop
 
@@ -216,6 +216,32 @@
         assert max(seconds) < STREAM_GAP_LIMIT_S
 
 
+class TestEndOfAnOutage:
+    def test_a_first_grant_counts_a_debt_that_is_not_recorded_yet(self):
+        machine = BudgetMachine()
+        machine.begin(864)
+        holder, entry = ADDRESSES[0], machine.entries[ADDRESSES[1]]
+
+        async def reserve(program):
+            deadline_at = asyncio.get_running_loop().time() + 0.5
+            try:
+                return (await entry.reserve(program, 864, 288, deadline_at)).tokens
+            except Refusal:
+                return 0
+
+        async def play():
+            machine.store.mode = 'down'
+            await reserve('noticed')
+            machine.debts['p'] = Debt(holder, 576)
+            machine.unreachable.add(holder)
+            machine.store.mode = 'up'
+            await asyncio.sleep(SERVICE_RETRY_S)
+            return sum([await reserve('p') for _ in range(4)])
+
+        assert machine.loop.run_until_complete(play()) + 576 <= 864
+        machine.teardown()
+
+
 class TestLostAnswers:
     @with_platform_site()
     async def test_a_grant_is_used_whose_answers_were_lost_twice(self, site, caller):
