Rate and crash calls, and the state of a request, in modules of their own; verdicts are published side by side

Cause: serving_transport.py held four jobs, forwarder.py two; two verdicts of one decision waited for each other while the key-value service is away, and one withdrawn meanwhile could have been written later.

Change: rate_transport.py, crash_transport.py, active_request.py, moved as they were; each verdict is published by its own task, and only while it stands; a verdict that is known already is not learned again.

--- a/libs/peer/toucanlead_peer/serving_transport.py
+++ b/libs/peer/toucanlead_peer/serving_transport.py
@@ -1,7 +1,7 @@
-"""Archive, loan, rate token, relay and feed calls over grpclib, client and server side."""
+"""Archive, loan, relay and feed calls over grpclib, client and server side."""
 
 import asyncio
-from collections.abc import AsyncGenerator, Iterable
+from collections.abc import AsyncGenerator
 from contextlib import aclosing
 
 from google.protobuf.message import DecodeError
@@ -10,17 +10,16 @@
 from grpclib.server import Server, Stream
 from h2.exceptions import StreamClosedError
 
-from toucanlead_core.crash_messages import BrokenRequest, CrashReport, CrashVerdict
 from toucanlead_core.errors import OutcomeUnknown
-from toucanlead_core.rate_messages import LimitSighting, TokenAsk, TokenCount, TokenReply
 
 from . import serving_grpc, serving_pb2
 from .channels import RPC_ERRORS, ChannelPool
+from .crash_transport import CrashServicer
+from .rate_transport import TokenServicer
 from .serving_interfaces import (
     ArchiveHandler,
     ArchiveTransport,
     CrashHandler,
-    CrashTransport,
     FeedHandler,
     FeedRow,
     FeedTransport,
@@ -35,7 +34,6 @@
     RelayTransport,
     StoreResult,
     TokenHandler,
-    TokenTransport,
     Turn,
     TurnChain,
 )
@@ -138,68 +136,6 @@
         await self._channels.call(address, 'repay', rpc, timeout_s)
 
 
-class GrpcTokens(TokenTransport):
-    """Asks other entries for rate tokens over gRPC."""
-
-    def __init__(self, channels: ChannelPool) -> None:
-        """Use the channels that all calls to peers share."""
-        self._channels = channels
-
-    async def ask(self, address: str, ask: TokenAsk, timeout_s: float) -> TokenReply:
-        """Ask the entry at an address for tokens."""
-        message = serving_pb2.TokenRequest(
-            group=ask.group,
-            entry=ask.entry,
-            wanted=ask.wanted,
-            sightings=[_sighting_to_proto(sighting) for sighting in ask.sightings],
-            returned=_token_counts_to_proto(ask.returned),
-        )
-
-        async def rpc(channel: Channel) -> TokenReply:
-            reply = await serving_grpc.RateKeeperStub(channel).Ask(message, timeout=timeout_s)
-            granted = _token_counts_from_proto(reply.granted)
-            return TokenReply(granted, reply.rate_per_s, reply.declined)
-
-        return await self._channels.call(address, 'rate tokens', rpc, timeout_s)
-
-
-class GrpcCrashes(CrashTransport):
-    """Tells other entries of crashes over gRPC."""
-
-    def __init__(self, channels: ChannelPool) -> None:
-        """Use the channels that all calls to peers share."""
-        self._channels = channels
-
-    async def report(self, address: str, report: CrashReport, timeout_s: float) -> None:
-        """Report a crash to a judge."""
-        requests = [
-            serving_pb2.BrokenRequest(content=request.content, produced=request.produced)
-            for request in report.requests
-        ]
-        message = serving_pb2.CrashReport(
-            replica=report.replica, requests=requests, cleared=report.cleared
-        )
-
-        async def rpc(channel: Channel) -> None:
-            await serving_grpc.CrashJudgeStub(channel).Report(message, timeout=timeout_s)
-
-        await self._channels.call(address, 'crash report', rpc, timeout_s)
-
-    async def tell(self, address: str, verdict: CrashVerdict, timeout_s: float) -> None:
-        """Tell an entry of a verdict."""
-        message = serving_pb2.CrashVerdict(
-            content=verdict.content,
-            crashes=verdict.crashes,
-            judge=verdict.judge,
-            withdrawn=verdict.withdrawn,
-        )
-
-        async def rpc(channel: Channel) -> None:
-            await serving_grpc.CrashJudgeStub(channel).Tell(message, timeout=timeout_s)
-
-        await self._channels.call(address, 'crash verdict', rpc, timeout_s)
-
-
 class GrpcRelay(RelayTransport):
     """Calls the key-value service through a peer over gRPC."""
 
@@ -298,49 +234,6 @@
         await stream.send_message(serving_pb2.RepayReply())
 
 
-class _TokenServicer(serving_grpc.RateKeeperBase):
-    def __init__(self, handler: TokenHandler) -> None:
-        self._handler = handler
-
-    async def Ask(self, stream: Stream) -> None:  # noqa: N802 - generated name
-        message = await stream.recv_message()
-        reply = await self._handler.ask_tokens(
-            TokenAsk(
-                message.group,
-                message.entry,
-                message.wanted,
-                tuple(_sighting_from_proto(sighting) for sighting in message.sightings),
-                _token_counts_from_proto(message.returned),
-            )
-        )
-        await stream.send_message(
-            serving_pb2.TokenReply(
-                granted=_token_counts_to_proto(reply.granted),
-                rate_per_s=reply.rate_per_s,
-                declined=reply.declined,
-            )
-        )
-
-
-class _CrashServicer(serving_grpc.CrashJudgeBase):
-    def __init__(self, handler: CrashHandler) -> None:
-        self._handler = handler
-
-    async def Report(self, stream: Stream) -> None:  # noqa: N802 - generated name
-        message = await stream.recv_message()
-        requests = (BrokenRequest(item.content, item.produced) for item in message.requests)
-        report = CrashReport(message.replica, tuple(requests), tuple(message.cleared))
-        await self._handler.record_crash(report)
-        await stream.send_message(serving_pb2.CrashReportReply())
-
-    async def Tell(self, stream: Stream) -> None:  # noqa: N802 - generated name
-        message = await stream.recv_message()
-        await self._handler.record_verdict(
-            CrashVerdict(message.content, message.crashes, message.judge, message.withdrawn)
-        )
-        await stream.send_message(serving_pb2.CrashVerdictReply())
-
-
 class _RelayServicer(serving_grpc.StoreRelayBase):
     def __init__(self, handler: RelayHandler) -> None:
         self._handler = handler
@@ -396,9 +289,9 @@
     if feed is not None:
         servicers.append(_FeedServicer(feed))
     if tokens is not None:
-        servicers.append(_TokenServicer(tokens))
+        servicers.append(TokenServicer(tokens))
     if crashes is not None:
-        servicers.append(_CrashServicer(crashes))
+        servicers.append(CrashServicer(crashes))
     return Server(servicers)
 
 
@@ -437,30 +330,6 @@
     )
 
 
-def _sighting_to_proto(sighting: LimitSighting) -> serving_pb2.LimitSighting:
-    return serving_pb2.LimitSighting(
-        replica=sighting.replica,
-        per_s=sighting.per_s or 0.0,
-        ended=sighting.per_s is None,
-        age_ms=int(1e3 * sighting.age_s),
-    )
-
-
-def _sighting_from_proto(message: serving_pb2.LimitSighting) -> LimitSighting:
-    per_s = None if message.ended else message.per_s
-    return LimitSighting(message.replica, per_s, message.age_ms / 1e3)
-
-
-def _token_counts_to_proto(counts: Iterable[TokenCount]) -> list[serving_pb2.TokenCount]:
-    return [serving_pb2.TokenCount(replica=c.replica, tokens=c.tokens) for c in counts]
-
-
-def _token_counts_from_proto(
-    messages: Iterable[serving_pb2.TokenCount],
-) -> tuple[TokenCount, ...]:
-    return tuple(TokenCount(message.replica, message.tokens) for message in messages)
-
-
 def _feed_update_to_proto(update: FeedUpdate) -> serving_pb2.FeedUpdate:
     rows = [
         serving_pb2.FeedRow(
--- /dev/null
+++ b/libs/serving/toucanlead_serving/active_request.py
@@ -0,0 +1,68 @@
+"""State of one request in progress."""
+
+from contextlib import contextmanager
+
+from attrs import define, field
+
+from toucanlead_core.errors import ExecutionStatus, NotSent
+
+from .budgets import Reservation
+from .events import StreamEvent
+from .registry import Replica
+from .replica_client import NotExecuted
+from .request import CallerReq, ContentIds
+from .routes import Route, RouteTable
+
+
+@define(eq=False)
+class ActiveRequest:
+    """State of one request in progress: its route, its attempts and the response so far.
+
+    `avoid` holds the ids of replicas that did not accept the request, `tried` those of
+    replicas that may have run it.
+    """
+
+    req: CallerReq
+    route: Route
+    table: RouteTable
+    expires_at: float
+    content: ContentIds
+    sends: int = 0
+    crashes: int = 0
+    may_have_run: bool = False
+    avoid: set[str] = field(factory=set)
+    tried: set[str] = field(factory=set)
+    reservation: Reservation | None = None
+    events: list[StreamEvent] = field(factory=list)
+    events_before_send: int = 0
+    stream_bytes: int = 0
+    replica: Replica | None = None
+    status: int = 0
+    detail: str = ''
+
+    @property
+    def ran(self) -> ExecutionStatus:
+        """Return whether the request may have run, for a refusal without a response."""
+        return ExecutionStatus.UNKNOWN if self.may_have_run else ExecutionStatus.NOT_RUN
+
+    @contextmanager
+    def record_attempt(self, replica: Replica):
+        """Record an attempt; undo it if the replica certainly did not run the request.
+
+        The replica may run the request as soon as the first byte is sent, so the attempt
+        stays recorded when the deadline passes without a response.
+        """
+        ran_before, tried_before = self.may_have_run, replica.ident in self.tried
+        self.replica = replica
+        self.events_before_send = len(self.events)
+        self.may_have_run = True
+        self.tried.add(replica.ident)
+        self.sends += 1
+        try:
+            yield
+        except (NotSent, NotExecuted):
+            self.may_have_run = ran_before
+            self.sends -= 1
+            if not tried_before:
+                self.tried.discard(replica.ident)
+            raise
--- a/libs/serving/toucanlead_serving/crash_verdicts.py
+++ b/libs/serving/toucanlead_serving/crash_verdicts.py
@@ -20,7 +20,7 @@
 from toucanlead_core.ids import rendezvous
 from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import Timers
-from toucanlead_kv.kv import KeyValueStore, KvEntry, Put, WatchEvent
+from toucanlead_kv.kv import KeyValueStore, KvEntry, LeaseLost, Put, WatchEvent
 from toucanlead_kv.watch import ChangeSink
 from toucanlead_peer.serving_interfaces import CrashHandler, CrashTransport
 from toucanlead_policy.crash_judge import SETTLE_S, CrashJudge, VerdictTable
@@ -206,27 +206,30 @@
         for content in report.cleared:
             if self._table.left_s(content, self._timers.now()):
                 known = self._known[content]
-                await self._publish(evolve(known.verdict, withdrawn=True))
+                self._spawn_publishing(evolve(known.verdict, withdrawn=True))
         if not report.replica:
             return
         await self._timers.sleep(DECIDE_AFTER_S)
         now = self._timers.now()
         for content, crashes in self._judge.condemned(now).items():
             if not self._table.left_s(content, now):
-                await self._publish(CrashVerdict(content, crashes, self._address))
+                self._spawn_publishing(CrashVerdict(content, crashes, self._address))
+
+    def _spawn_publishing(self, verdict: CrashVerdict) -> None:
+        self._learn(verdict, 'judge')
+        self._tasks.spawn(self._publish(verdict), 'crash verdict')
 
     async def _publish(self, verdict: CrashVerdict) -> None:
         """Write a verdict to the key-value service; tell the entries if that fails."""
-        self._learn(verdict, 'judge')
         ends_at = self._timers.now() + VERDICT_S
         told = False
-        while self._timers.now() < ends_at:
+        while self._timers.now() < ends_at and self._known[verdict.content].verdict == verdict:
             try:
                 lease = await self._store.grant_lease(VERDICT_S)
                 put = Put(VERDICT_PREFIX + verdict.content, to_json(verdict), lease)
                 await self._store.txn([], [put])
                 return
-            except (NotSent, OutcomeUnknown) as exc:
+            except (NotSent, OutcomeUnknown, LeaseLost) as exc:
                 log.info('crash_verdict_unwritten', content=verdict.content, error=str(exc))
             if not told:
                 told = True
@@ -251,14 +254,15 @@
         self._learn(verdict, 'key-value service')
 
     def _learn(self, verdict: CrashVerdict, source: str) -> None:
-        known = self._known.get(verdict.content)
         now = self._timers.now()
-        if known is not None and known.verdict == verdict and now - known.learned_at < VERDICT_S:
-            return
+        held_back = self._table.left_s(verdict.content, now) > 0.0
+        if held_back != verdict.withdrawn:
+            return  # both judges write the same verdict, and it comes from several sources
         if verdict.withdrawn:
             self._table.remove(verdict.content)
         else:
             self._table.add(verdict.content, now + VERDICT_S)
+        self._known.pop(verdict.content, None)
         self._known[verdict.content] = _KnownVerdict(verdict, now)
         while len(self._known) > 2 * self._table.max_verdicts:
             del self._known[next(iter(self._known))]
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -18,13 +18,13 @@
 from toucanlead_core.timers import LoopTimers, TimerHandle
 from toucanlead_kv.watch import TeeSink
 from toucanlead_peer.channels import ChannelPool
+from toucanlead_peer.crash_transport import GrpcCrashes
+from toucanlead_peer.rate_transport import GrpcTokens
 from toucanlead_peer.serving_transport import (
     GrpcArchives,
-    GrpcCrashes,
     GrpcFeeds,
     GrpcLoans,
     GrpcRelay,
-    GrpcTokens,
     serving_server,
 )
 from toucanlead_policy.placement import Placement
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -1,10 +1,9 @@
 """Forwarder: sends callers' requests to replicas and returns the responses."""
 
 import asyncio
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import asynccontextmanager
 
 import structlog
-from attrs import define, field
 
 from toucanlead_backends.http_connection import MAX_BODY_BYTES, join_chunks
 from toucanlead_core.errors import (
@@ -20,8 +19,9 @@
 from toucanlead_peer.serving_interfaces import Turn
 from toucanlead_policy.limit_queue import QUEUE_S
 
+from .active_request import ActiveRequest
 from .archive_client import ArchiveClient
-from .budgets import Budgets, Reservation
+from .budgets import Budgets
 from .crash_verdicts import CrashVerdicts
 from .crash_watch import CrashWatch
 from .dispatch import Dispatch
@@ -29,8 +29,8 @@
 from .metrics import ServingMetrics
 from .registry import Replica
 from .replica_client import NotExecuted, ReplicaResponse
-from .request import CallerReq, ContentIds, ReplicaCall, ResponseSink
-from .routes import CurrentRoutes, Route, RouteKind, RouteTable
+from .request import CallerReq, ReplicaCall, ResponseSink
+from .routes import CurrentRoutes, RouteKind
 
 log = structlog.get_logger()
 
@@ -43,60 +43,6 @@
 STALL_GAPS = 4  # how many times the longest pause for an answer in time counts as a stall
 
 
-@define(eq=False)
-class ActiveRequest:
-    """State of one request in progress: its route, its attempts and the response so far.
-
-    `avoid` holds the ids of replicas that did not accept the request, `tried` those of
-    replicas that may have run it.
-    """
-
-    req: CallerReq
-    route: Route
-    table: RouteTable
-    expires_at: float
-    content: ContentIds
-    sends: int = 0
-    crashes: int = 0
-    may_have_run: bool = False
-    avoid: set[str] = field(factory=set)
-    tried: set[str] = field(factory=set)
-    reservation: Reservation | None = None
-    events: list[StreamEvent] = field(factory=list)
-    events_before_send: int = 0
-    stream_bytes: int = 0
-    replica: Replica | None = None
-    status: int = 0
-    detail: str = ''
-
-    @property
-    def ran(self) -> ExecutionStatus:
-        """Return whether the request may have run, for a refusal without a response."""
-        return ExecutionStatus.UNKNOWN if self.may_have_run else ExecutionStatus.NOT_RUN
-
-    @contextmanager
-    def record_attempt(self, replica: Replica):
-        """Record an attempt; undo it if the replica certainly did not run the request.
-
-        The replica may run the request as soon as the first byte is sent, so the attempt
-        stays recorded when the deadline passes without a response.
-        """
-        ran_before, tried_before = self.may_have_run, replica.ident in self.tried
-        self.replica = replica
-        self.events_before_send = len(self.events)
-        self.may_have_run = True
-        self.tried.add(replica.ident)
-        self.sends += 1
-        try:
-            yield
-        except (NotSent, NotExecuted):
-            self.may_have_run = ran_before
-            self.sends -= 1
-            if not tried_before:
-                self.tried.discard(replica.ident)
-            raise
-
-
 class Forwarder:
     """Forwards the requests of all callers of one entry."""
 
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -139,6 +139,21 @@
 
         scenario(None)
 
+    @with_platform_site(engines=6)
+    async def test_two_such_requests_are_known_everywhere_while_the_service_is_away(
+        self, site, caller
+    ):
+        crash_on_deadly(engine_replicas(site))
+        site.network.kill(SERVICE_HOST)
+        await asyncio.sleep(1.0)
+        for body in (DEADLY + b'-1', DEADLY + b'-2'):
+            before = len(site.crashes)
+            for number in range(9):
+                program = Caller(f'{body}-{number}', pools=caller.pools)
+                await program.resumable_turn(VMS[number % 3], body=body)
+                await asyncio.sleep(1.0)
+            assert len(site.crashes) - before <= MAX_CRASHES + MAX_RETRIES
+
     @with_platform_site(engines=6)
     async def test_an_entry_cut_off_from_the_others_learns_it_by_itself(self, site, caller):
         crash_on_deadly(engine_replicas(site))
