A signal at the end of a planned stop no longer ends the process with a failure

What operators saw: an archive that was asked to stop and got a SIGHUP while it ended had exit code -1 instead of 0.

Cause: closing the event loop restores the default actions of the signals that it handled; the interpreter then needs some time to end, and a signal in that time ends the process by itself.

Change: once a process has stopped, the three signals are blocked. Tests that were still missing: more signals and a reload during a planned stop, a route that moves, a hand-over between two processes.

--- a/libs/cli/toucanlead/processes.py
+++ b/libs/cli/toucanlead/processes.py
@@ -107,3 +107,5 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
     await main(stop)
+    # Closing the loop restores the default actions, which would end the process by a signal.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
--- a/tests/platform/test_peer_misbehaviour.py
+++ b/tests/platform/test_peer_misbehaviour.py
@@ -6,11 +6,12 @@
 import pytest
 
 from toucanlead_platform_standins.replica import ENDLESS
-from toucanlead_platform_standins.site import APP, ENGINES, configuration, route
+from toucanlead_platform_standins.site import APP, ENGINES, Vm, configuration, route
 
 from .site import ENTRY_1, ENTRY_2, app_replicas, engine_replicas, with_platform_site
 
 ROUTE_TIMEOUT_S = 4.0  # the longest of all routes
+APPLY_S = 2.5  # within this time a configuration is in force everywhere
 MEMORY_BOUND_BYTES = 32_000_000  # what an entry on the smallest VM has to spare
 
 
@@ -65,6 +66,74 @@
             assert reply.succeeded or not site.log.runs_of(reply.ident)
 
 
+class TestRouteThatMoves:
+    @with_platform_site()
+    async def test_bookings_run_once_and_only_where_the_route_leads(self, site, caller):
+        """The route moves between two services and back, under load."""
+        others = [await site.add_replica(f'i-b{n}', 'other', 'centro-a') for n in range(2)]
+        replies = []
+        ended = asyncio.Event()
+
+        async def send(vm):
+            while not ended.is_set():
+                replies.append(await caller.book(vm))
+                await asyncio.sleep(0.01)
+
+        sending = [asyncio.ensure_future(send(vm)) for vm in (ENTRY_1, ENTRY_2) * 3]
+        moved_at = []
+        for version, service in ((5, 'other'), (7, APP), (9, 'other')):
+            document = configuration(version)
+            (booking,) = [r for r in document['routes'] if r['name'] == 'booking']
+            booking['service'] = service
+            document['services'].append({**document['services'][1], 'name': 'other'})
+            site.configure(document)
+            moved_at.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(4.0)
+        ended.set()
+        await asyncio.gather(*sending)
+        assert all(reply.succeeded for reply in replies)
+        assert all(len(site.log.runs_of(reply.ident)) == 1 for reply in replies)
+        other_names = {replica.ident for replica in others}
+        for run in site.log.runs:
+            moves = [n for n, at in enumerate(moved_at) if at + APPLY_S < run.started_at < at + 4.0]
+            if moves:
+                assert (run.replica in other_names) == (moves[0] in (0, 2))
+
+
+class TestHandOverBetweenTwoProcesses:
+    @with_platform_site()
+    async def test_an_entry_and_its_successor_act_once_and_keep_the_budget(self, site, caller):
+        """The new entry starts, at another address, while the old one is stopping."""
+        caller.budget = 2900
+        successor = Vm('entry-9', ENTRY_1.zone, '10.1.0.9')
+        site.network.regions[successor.ip] = 'centro'
+        bookings, turns = [], []
+        ended = asyncio.Event()
+
+        async def send(vm):
+            while not ended.is_set():
+                bookings.append(await caller.book(vm))
+                turns.append(await caller.turn(vm))
+                await asyncio.sleep(0.05)
+
+        sending = [asyncio.ensure_future(send(ENTRY_1)) for _ in range(2)]
+        await asyncio.sleep(0.5)
+        stopping = asyncio.ensure_future(site.entries[ENTRY_1.name].stop())
+        await site.start_entry(successor)
+        await site.wait_until(lambda: site.entries[successor.name].is_ready())
+        sending += [asyncio.ensure_future(send(successor)) for _ in range(2)]
+        await stopping
+        await asyncio.sleep(2.0)
+        ended.set()
+        await asyncio.gather(*sending)
+        assert any(reply.succeeded for reply in turns)
+        generated = 10 * sum(run.events for run in site.log.runs)
+        assert generated <= caller.budget
+        for reply in bookings:
+            runs = len(site.log.runs_of(reply.ident))
+            assert runs == 1 if reply.succeeded else runs == 0
+
+
 class TestSlowAndStalledStreams:
     @with_platform_site()
     async def test_a_slow_but_sound_stream_is_not_cut(self, site, caller):
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -133,6 +133,28 @@
         assert proc.process.wait(TIMEOUT_S) == ExitStatus.SUCCESS
         assert f'event={name}_stopped' in proc.log()
 
+    @pytest.mark.parametrize(
+        ('command', 'name'),
+        [(('entry', '--adapter', 'platform'), 'entry'), (('archive',), 'archive')],
+    )
+    def test_more_signals_and_a_reload_during_a_planned_stop_change_nothing(
+        self, start_command, command, name
+    ):
+        proc = start_command(*command)
+        proc.wait_for_log(f'event={name}_started')
+        proc.process.send_signal(signal.SIGTERM)
+        proc.wait_for_log(f'event={name}_stopping')
+        proc.write_settings(tolerance=2)
+        for signum in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            if proc.process.poll() is None:
+                proc.process.send_signal(signum)
+                time.sleep(0.1)
+        assert proc.process.wait(TIMEOUT_S) == ExitStatus.SUCCESS
+        log = proc.log()
+        assert f'event={name}_stopped' in log
+        assert 'level=error' not in log
+        assert 'Traceback' not in log
+
     def test_an_entry_without_the_service_is_not_ready_and_refuses_at_once(self, start_command):
         proc = start_command('entry', '--adapter', 'platform')
         proc.wait_for_log('event=entry_started')
