--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -11,7 +11,8 @@
 from toucanlead.status import ExitStatus
 
 from ..utils.command import toucanlead
-from .site import ENTRY_1, ENTRY_2, with_platform_site
+from .load import name_limits, play_load, turns
+from .site import ENTRY_1, ENTRY_2, engine_replicas, with_platform_site
 
 OPERATIONS_PAGE = (Path(__file__).parents[2] / 'docs' / 'OPERATIONS.md').read_text()
 RENDER_LOGFMT = LogfmtRenderer(key_order=['timestamp', 'event'], bool_as_flag=False)
@@ -89,6 +90,24 @@
         assert reply.status == 404
         assert_explains(logs.explain(reply.ident), 'A turn got 404: `unknown_turn`')
 
+    @with_platform_site()
+    async def test_a_limit_that_replicas_name(self, site, caller):
+        name_limits(engine_replicas(site), 1.0)
+        with LogCapture() as logs:
+            replies = await play_load(turns(caller, {ENTRY_1: 1.0}), per_s=30.0, seconds=3.0)
+        refused = [reply for reply in replies if reply.status == 503]
+        assert_explains(logs.explain(refused[0].ident), 'A request got 503: `replica_limit`')
+
+    @with_platform_site(engines=6)
+    async def test_a_request_that_crashes_replicas(self, site, caller):
+        for replica in engine_replicas(site):
+            replica.faults.crash_on = b'deadly'
+        with LogCapture() as logs:
+            for _ in range(6):
+                reply = await caller.resumable_turn(ENTRY_1, body=b'deadly')
+                await asyncio.sleep(1.0)
+        assert_explains(logs.explain(reply.ident), 'A request got 503: `crashes_replicas`')
+
 
 class TestCommand:
     def test_says_when_no_line_names_the_id(self):
