Placing costs nothing for limits while no replica names one

Cause: each candidate was looked up twice in the known limits, with a text made for each.

Change: no look-up while no limit is known.

--- a/libs/serving/toucanlead_serving/replica_limits.py
+++ b/libs/serving/toucanlead_serving/replica_limits.py
@@ -90,10 +90,14 @@
 
     def may_send(self, replica: Replica) -> bool:
         """Return whether a request may be sent to a replica now."""
+        if not self._logged:
+            return True
         return self._tokens.may_send(replica.run, self._timers.now(), self._entries())
 
     def holds_token(self, replica: Replica) -> bool:
         """Return whether a token for a replica is held, which is lost if it is not used."""
+        if not self._logged:
+            return False
         known = self._tokens.limit_of(replica.run)
         return known is not None and known.tokens(self._timers.now()) > 0
 
