A process that stops cancels a background task again if it goes on

Cause, believed: a cancellation is lost when a library replaces it by the error of a connection that ends at the same moment (grpclib does that in its streams); the task goes on, and the process waits for it. Not traced in a stack.

Change: TaskSet.cancel cancels what is left every 0.2 s.

--- a/libs/core/toucanlead_core/tasks.py
+++ b/libs/core/toucanlead_core/tasks.py
@@ -9,6 +9,8 @@
 
 log = structlog.get_logger()
 
+CANCEL_AGAIN_S = 0.2
+
 
 class TaskSet:
     """The background tasks of one process; logs their failures and cancels them together."""
@@ -24,11 +26,16 @@
         return task
 
     async def cancel(self) -> None:
-        """Cancel all tasks and wait until they have ended."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancel all tasks and wait until they have ended.
+
+        A task is cancelled again if it goes on: a library that reports a lost connection at
+        the same moment may have replaced the cancellation by its own error.
+        """
+        pending = set(self._tasks)
+        while pending:
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
 
     def _on_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
