--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DIRS := $(foreach lib,$(LIBS),libs/$(lib)) platform
 STAMP := $(VENV)/installed
 
-.PHONY: demo test faults faults-full fuzz bench slopes binary lock check format proto traces lock clean
+.PHONY: demo test faults faults-full soak fuzz bench slopes binary lock check format proto traces lock clean
 
 demo: $(STAMP)
 	$(BIN)/toucanlead demo
@@ -20,6 +20,9 @@
 faults-full: $(STAMP)
 	$(BIN)/toucanlead faults --full
 
+soak: $(STAMP)
+	TOUCANLEAD_SOAK_SEEDS=1-50 TOUCANLEAD_SOAK_S=15 $(BIN)/python -m pytest tests/soak
+
 fuzz: $(STAMP)
 	TOUCANLEAD_FUZZ=1 $(BIN)/python -m pytest tests/test_state.py tests/platform/test_budgets.py
 
--- /dev/null
+++ b/tests/soak/processes.py
@@ -0,0 +1,166 @@
+"""The real programs as separate processes on loopback, and signals to them from outside."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from pathlib import Path
+
+from attrs import define, field
+
+from toucanlead_platform_standins.site import (
+    CALLER_PORT,
+    METRICS_PORT,
+    PEER_PORT,
+    READINESS_PORT,
+    SERVICE_PORT,
+    ZONES,
+    Vm,
+)
+
+STOP_LIMIT_S = 12.0  # the grace period of 8 s, and the end of the interpreter
+SETTINGS = """
+[process]
+name = '{name}'
+zone = '{zone}'
+region = '{region}'
+first_start = {first_start}
+
+[listen]
+peers = '{ip}:{peers}'
+callers = '{ip}:{callers}'
+readiness = '{ip}:{readiness}'
+metrics = '{ip}:{metrics}'
+
+[service]
+address = '{service}'
+seeds = [{seeds}]
+
+[archive]
+folder = '{folder}'
+disk_mb = 20.0
+
+[tolerance]
+vms = 1
+
+[zones]
+"""
+
+
+@define(eq=False)
+class SoakProcess:
+    """One program on one address, started again under the same name whenever it ended.
+
+    `disturbed` has the loop times between which the process was killed, paused or away;
+    what it was asked then may go unanswered.
+    """
+
+    vm: Vm
+    command: tuple[str, ...]
+    folder: Path
+    service: str
+    seeds: list[str]
+    process: asyncio.subprocess.Process | None = None
+    first_start: bool = True
+    starts_before: int = 0
+    disturbed: list[tuple[float, float]] = field(factory=list)
+    bad_exits: list[int] = field(factory=list)
+
+    async def start(self) -> None:
+        """Write the settings and start the program."""
+        path = self.folder / f'{self.vm.name}.toml'
+        zones = ''.join(f"{zone} = '{region}'\n" for zone, region in ZONES.items())
+        text = SETTINGS.format(
+            name=self.vm.name,
+            zone=self.vm.zone,
+            region=ZONES[self.vm.zone],
+            first_start=str(self.first_start).lower(),
+            ip=self.vm.ip,
+            peers=PEER_PORT,
+            callers=CALLER_PORT,
+            readiness=READINESS_PORT,
+            metrics=METRICS_PORT,
+            service=f'{self.service}:{SERVICE_PORT}',
+            seeds=', '.join(f"'{seed}:{PEER_PORT}'" for seed in self.seeds),
+            folder=self.folder / f'{self.vm.name}-disk',
+        )
+        path.write_text(text + zones)
+        self.first_start = False
+        log_path = self.folder / f'{self.vm.name}.log'
+        if log_path.exists():
+            self.starts_before = log_path.read_text().count(f'event={self.command[0]}_started')
+        with log_path.open('ab') as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'toucanlead',
+                *self.command,
+                '--config',
+                str(path),
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, signum: signal.Signals) -> None:
+        """Send a signal, if the process still runs."""
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):  # it has just ended
+                os.kill(self.process.pid, signum)
+
+    def has_started(self) -> bool:
+        """Return whether this run has said that it has started; signals end it before that."""
+        log = (self.folder / f'{self.vm.name}.log').read_text()
+        return log.count(f'event={self.command[0]}_started') > self.starts_before
+
+    async def stop_and_start(self, rng) -> None:
+        """Stop the process as planned, with more signals meanwhile, and start it again."""
+        while not self.has_started():
+            await asyncio.sleep(0.1)
+        self.send(signal.SIGTERM)
+        for signum in rng.choices((signal.SIGHUP, signal.SIGTERM), k=rng.randrange(3)):
+            await asyncio.sleep(rng.random())
+            self.send(signum)
+        self.bad_exits += await self._exit_code()
+        await self.start()
+
+    async def kill_and_start(self, rng) -> None:
+        """Kill the process, and start it again after a while."""
+        began = asyncio.get_running_loop().time()
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+        await asyncio.sleep(rng.random())
+        await self.start()
+        self.disturbed.append((began, asyncio.get_running_loop().time()))
+
+    async def pause(self, rng) -> None:
+        """Pause the process for up to two seconds."""
+        began = asyncio.get_running_loop().time()
+        self.send(signal.SIGSTOP)
+        await asyncio.sleep(0.3 + 1.7 * rng.random())
+        self.send(signal.SIGCONT)
+        self.disturbed.append((began, asyncio.get_running_loop().time()))
+
+    async def reload(self, rng) -> None:
+        """Have the process read its settings again."""
+        if self.has_started():
+            self.send(signal.SIGHUP)
+
+    async def end(self) -> None:
+        """Kill the process for good."""
+        self.send(signal.SIGKILL)
+        await self.process.wait()
+
+    def was_disturbed(self, begin: float, end: float) -> bool:
+        """Return whether the process was killed or paused between two loop times."""
+        return any(first <= end and begin <= last for first, last in self.disturbed)
+
+    async def _exit_code(self) -> list[int]:
+        """Return the exit code as a list if it is not 0, or if the process does not end."""
+        try:
+            async with asyncio.timeout(STOP_LIMIT_S):
+                code = await self.process.wait()
+        except TimeoutError:
+            await self.end()
+            return [-signal.SIGKILL]
+        return [code] if code else []
