A full replica costs no look-up of limits while no replica names one

Cause: each refusal of a full replica went over all replicas of the service, to see whether one names a limit.

Change: not while none is known. No decision changes.

Measured: test_replica_limits.py passes.

--- a/libs/serving/toucanlead_serving/replica_limits.py
+++ b/libs/serving/toucanlead_serving/replica_limits.py
@@ -119,7 +119,7 @@
 
     def record_shortfall(self, service: str) -> None:
         """Ask for one more token: a replica without a limit is full."""
-        if self._limited(service):
+        if self._logged and self._limited(service):
             self._demand(service).shortfall += 1
             self._ask_soon(service)
 
