--- a/libs/serving/toucanlead_serving/rate_keepers.py
+++ b/libs/serving/toucanlead_serving/rate_keepers.py
@@ -80,7 +80,7 @@
         return reply
 
     async def ask_tokens(self, ask: TokenAsk) -> TokenReply:
-        """Return tokens of a group that this entry keeps; decline if it keeps it not."""
+        """Return tokens of a group, or decline if this entry is not its keeper."""
         if self.stopping or not await self._is_keeper(ask.group):
             return TokenReply(declined=True)
         return self._keeper.ask(ask, self._timers.now())
