Logs name the version of a replica and the attempt that a request resumes

Cause: request_ended named the replica, not its version, and nothing told a resumed request from a new one, so the three hypotheses could not be told apart. Conclusion: a joined stream now shows in two request_ended lines, of the take-up and of the attempt that it names.

--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -123,9 +123,12 @@
             'ran': ExecutionStatus.RAN.value if outcome == 'answered' else active.ran.value,
             'program': req.program.program if req.program else '',
             'previous': req.previous_turn or '',
+            'resumes': req.resumes or '',
+            'resume_after': req.resume_after or '',
             'route': active.route.name,
             'config': active.table.version,
             'replica': active.replica.ident if active.replica else '',
+            'version': active.replica.record.version if active.replica else '',
             'content': active.content.whole,
             'status': active.status,
             'sends': active.sends,
@@ -432,7 +435,14 @@
             active.crashes += await self._dispatch.client.is_down(active.replica)
         may_resend = active.sends < MAX_SENDS and active.crashes < MAX_CRASHES
         if active.route.repeatable and may_resend:
-            log.info('sent_again', request=active.req.ident, error=str(exc))
+            log.info(
+                'sent_again',
+                request=active.req.ident,
+                replica=active.replica.ident,
+                version=active.replica.record.version,
+                events=len(active.events),
+                error=str(exc),
+            )
             self._metrics.retried(RetryReason.ANSWER_LOST)
             return
         raise Refusal(
--- a/libs/serving/toucanlead_serving/request.py
+++ b/libs/serving/toucanlead_serving/request.py
@@ -61,7 +61,11 @@
 
 @frozen
 class CallerReq:
-    """One request of a caller; times are loop times in seconds."""
+    """One request of a caller; times are loop times in seconds.
+
+    A caller that resumes a stream names the id of the last event that it holds in
+    `resume_after`, and in `resumes` the request that brought the first one.
+    """
 
     ident: str
     method: str
@@ -75,6 +79,7 @@
     generation: Generation | None = None
     previous_turn: str | None = None
     resume_after: str | None = None
+    resumes: str | None = None
 
     def content_ids(self) -> ContentIds:
         """Return what identifies a request that comes again: all but ids, headers and caller.
