--- a/tests/platform/test_peer_misbehaviour.py
+++ b/tests/platform/test_peer_misbehaviour.py
@@ -2,11 +2,19 @@
 
 import asyncio
 import tracemalloc
+from collections import Counter
 
 import pytest
 
 from toucanlead_platform_standins.replica import ENDLESS
-from toucanlead_platform_standins.site import APP, ENGINES, Vm, configuration, route
+from toucanlead_platform_standins.site import (
+    APP,
+    BOOKING_PATH,
+    ENGINES,
+    Vm,
+    configuration,
+    route,
+)
 
 from .site import ENTRY_1, ENTRY_2, app_replicas, engine_replicas, with_platform_site
 
@@ -33,6 +41,32 @@
         scenario(None)
 
 
+class TestSecondCopyOfARefusal:
+    @pytest.mark.parametrize('ident', ['', None, 'another'], ids=['unnamed', 'earlier', 'another'])
+    def test_it_is_no_promise_about_a_later_request_on_its_connection(self, ident):
+        @with_platform_site()
+        async def scenario(_, site, caller):
+            replies = []
+            for _ in range(30):
+                for replica in site.replicas.values():
+                    replica.faults.reject_requests = 1
+                    replica.faults.repeat_refusals = 2
+                    replica.faults.repeated_ident = ident
+                calls = (caller.book, caller.lookup, caller.turn, caller.resumable_turn)
+                replies += await asyncio.gather(*(call(ENTRY_1) for call in calls for _ in (1, 2)))
+                caller.program = f'p{len(replies)}'
+            assert sum(reply.succeeded for reply in replies) >= 0.5 * len(replies)
+            runs = Counter(run.ident for run in site.log.runs)
+            bookings = [run.ident for run in site.log.runs if run.target.startswith(BOOKING_PATH)]
+            assert all(runs[booking] == 1 for booking in bookings)
+            for reply in replies:
+                assert reply.status not in (408, 421, 429, 503) or not runs[reply.ident]
+                if reply.succeeded and not reply.event_data:
+                    assert reply.body == b'done ' + reply.ident.encode()
+
+        scenario(None)
+
+
 class TestPlannedStopUnderLoad:
     @with_platform_site()
     async def test_every_request_that_was_read_is_answered(self, site, caller):
