--- a/libs/backends/toucanlead_backends/http_connection.py
+++ b/libs/backends/toucanlead_backends/http_connection.py
@@ -105,6 +105,7 @@
         self.peer = peer
         self.idle_since = loop.time()
         self.keep_alive_s: float | None = None
+        self.requests_sent = 0
         self._on_lost = on_lost
         self._responses: deque[HttpResponse] = deque()
         self._current_body: StreamReader | None = None
@@ -155,6 +156,7 @@
         if self.transport is None or self.transport.is_closing():
             raise NotSent('connection closed', step='send', peer=self.peer)
         self._request_sent = True
+        self.requests_sent += 1
         self.transport.write(head + body if body else head)
 
     async def next_response(self) -> HttpResponse:
