Nothing but its own events reaches the caller of a stream that has begun

What callers saw: the head and the text of the next replica's error in the middle of their stream, or a clean end. Cause: a response that is no stream was written whole, also behind the first events of a stream that was continued; a stream of an error counted as the stream. Change: such a response is a lost answer for a stream that has begun: sent again, or broken off. Only a success is a stream of events. A caller that resumes a stream gets no success that is not a stream. Streams that are cut inside an event, a character or the blank line, or whose connection is reset at the end, were broken off visibly before already; tests now show it.

--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -40,6 +40,7 @@
 MAX_SENDS = 4  # per repeatable request
 MAX_CRASHES = 2  # of replicas under one request, which may be the cause
 MIN_STALL_S = 1.0  # callers abandon a stream after a pause of two seconds
+FIRST_ERROR_STATUS = 400
 STALL_GAPS = 4  # how many times the longest pause for an answer in time counts as a stall
 
 
@@ -203,6 +204,7 @@
                     async with self._send(active, call) as response:
                         active.status = response.head.status
                         if not response.head.streamed:
+                            self._check_not_begun(active, response, sink)
                             await self._write_whole(active, response, sink)
                             return
                         await self._write_events(active, response, sink)
@@ -258,6 +260,21 @@
             await sink.write(body)
         await sink.end()
 
+    def _check_not_begun(
+        self, active: ActiveRequest, response: ReplicaResponse, sink: ResponseSink
+    ) -> None:
+        """Raise OutcomeUnknown if a response that is not a stream comes after a stream's events.
+
+        A caller that resumes a stream may still get an error, whose status it sees.
+        """
+        status = response.head.status
+        if sink.head_sent or (active.req.resume_after and status < FIRST_ERROR_STATUS):
+            raise OutcomeUnknown(
+                f'status {status} instead of the rest of a stream',
+                step='stream',
+                peer=active.replica.ident,
+            )
+
     async def _write_events(
         self, active: ActiveRequest, response: ReplicaResponse, sink: ResponseSink
     ) -> None:
--- a/libs/serving/toucanlead_serving/request.py
+++ b/libs/serving/toucanlead_serving/request.py
@@ -116,7 +116,10 @@
 
 @frozen
 class ReplicaResponseHead:
-    """Status and end-to-end headers of a replica's response."""
+    """Status and end-to-end headers of a replica's response.
+
+    `streamed` says that the body is a stream of events, which an error never is.
+    """
 
     status: int
     headers: Headers = field(factory=tuple)
--- a/tests/platform/test_replica_faults.py
+++ b/tests/platform/test_replica_faults.py
@@ -80,7 +80,7 @@
     async def test_a_broken_resumable_stream_continues_after_its_last_event(self, site, caller):
         for replica in engine_replicas(site):
             replica.faults.break_after_events = 3
-            replica.faults.cut_inside_event = True
+            replica.faults.cut_bytes = b'id: 4\nda'
         reply = await caller.resumable_turn(ENTRY_1)
         assert reply.succeeded
         numbers = [int(data.rpartition(b'-')[2]) for data in reply.event_data]
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -8,6 +8,7 @@
 from toucanlead_platform_standins.replica import INSTEAD_OF_STREAM
 from toucanlead_platform_standins.site import (
     ARCHIVES,
+    RESUMED_PATH,
 )
 
 from .site import ENTRY_1, ENTRY_2, ENTRY_3, engine_replicas, with_platform_site
@@ -85,6 +86,44 @@
         scenario(None)
 
 
+class TestEndOfAStream:
+    @pytest.mark.parametrize('reset', [False, True], ids=['closed', 'reset'])
+    def test_a_stream_without_a_length_ends_with_its_connection_unless_that_is_reset(self, reset):
+        @with_platform_site()
+        async def scenario(_, site, caller):
+            for replica in engine_replicas(site):
+                replica.faults.omit_length = True
+                replica.faults.reset_at_end = reset
+            for turn in (caller.turn, caller.resumable_turn):
+                reply = await turn(ENTRY_1)
+                assert reply.succeeded != reset
+                assert len(reply.event_data) == 6
+
+        scenario(None)
+
+    @pytest.mark.parametrize(
+        'cut_bytes',
+        [b'i', b'id: 4\n', b'id: 4\ndata: \xc3', b'id: 4\ndata: x', b'id: 4\ndata: x\n'],
+    )
+    @pytest.mark.parametrize('omit_length', [False, True], ids=['chunked', 'without a length'])
+    def test_a_stream_that_ends_inside_an_event_is_broken_off(self, cut_bytes, omit_length):
+        @with_platform_site()
+        async def scenario(_, site, caller):
+            for replica in engine_replicas(site):
+                replica.faults.break_after_events = 3
+                replica.faults.cut_bytes = cut_bytes
+                replica.faults.omit_length = omit_length
+            broken = await caller.turn(ENTRY_1)
+            assert broken.status == 0
+            assert broken.last_event_id == 3
+            assert broken.body.endswith(b'-3\n\n')
+            whole = await caller.resumable_turn(ENTRY_1)
+            assert whole.succeeded
+            assert len(whole.event_data) == 6
+
+        scenario(None)
+
+
 class TestStreamWithinOneAnswer:
     @with_platform_site(engines=4, versions=('v1', 'v2', 'v2', 'v2'))
     async def test_it_is_broken_off_when_no_replica_of_its_version_is_left(self, site, caller):
@@ -125,3 +164,16 @@
                 assert not answer_bytes.endswith(LAST_CHUNK)
 
         scenario(None)
+
+    @pytest.mark.parametrize('answer', ['whole body', 'error', 'redirect'])
+    def test_a_caller_that_resumes_a_stream_gets_no_success_in_its_place(self, answer):
+        @with_platform_site()
+        async def scenario(_, site, caller):
+            for replica in engine_replicas(site):
+                replica.faults.break_after_events = 3
+            first = await caller.turn(ENTRY_1, path=RESUMED_PATH, disconnect_after_s=0.1)
+            for replica in engine_replicas(site):
+                replica.faults.instead_of_stream = answer
+            assert (await caller.resume(ENTRY_2, first, first)).status in (500, 502)
+
+        scenario(None)
