A stream goes on only at the software version that began it

What callers saw: the first part of their answer from one version of a back end, the rest from another, with nothing in the answer to show it; many times after all entries had been killed at once, but also without that. Cause: nothing kept the version that began a stream, and nothing asked for it. A resumed request went to any replica, by another entry and by the caller alike. Class of fault: what has to outlive a process was known to no place that does. Change: entries share a list of the versions of each service in the key-value service; it changes with a release, not with a stream. While one version alone is on it, nothing is kept. A stream goes on at its version, is refused at once when no replica serves it or it cannot be known, and is broken off when it has begun. A replica that runs another version under the same id makes its streams doubtful. New streams begin at listed versions while they can.

--- a/libs/core/toucanlead_core/errors.py
+++ b/libs/core/toucanlead_core/errors.py
@@ -65,6 +65,8 @@
     REPLICAS_FULL = 'replicas_full'
     REPLICA_LIMIT = 'replica_limit'
     CRASHES_REPLICAS = 'crashes_replicas'
+    STREAM_VERSION_UNKNOWN = 'stream_version_unknown'
+    STREAM_VERSION_GONE = 'stream_version_gone'
     STOPPING = 'stopping'
     CONFLICT = 'conflict'
     INTERNAL = 'internal'
--- a/libs/serving/toucanlead_serving/active_request.py
+++ b/libs/serving/toucanlead_serving/active_request.py
@@ -12,14 +12,16 @@
 from .replica_client import NotExecuted
 from .request import CallerReq, ContentIds
 from .routes import Route, RouteTable
+from .stream_origins import StreamOrigin
 
 
 @define(eq=False)
 class ActiveRequest:
     """State of one request in progress: its route, its attempts and the response so far.
 
-    `avoid` holds the ids of replicas that did not accept the request, `tried` those of
-    replicas that may have run it.
+    `origin` is where its stream began, None while the caller holds no event. `avoid` holds
+    the ids of replicas that did not accept the request, `tried` those of replicas that may
+    have run it.
     """
 
     req: CallerReq
@@ -32,6 +34,7 @@
     may_have_run: bool = False
     avoid: set[str] = field(factory=set)
     tried: set[str] = field(factory=set)
+    origin: StreamOrigin | None = None
     reservation: Reservation | None = None
     events: list[StreamEvent] = field(factory=list)
     events_before_send: int = 0
--- a/libs/serving/toucanlead_serving/archive_client.py
+++ b/libs/serving/toucanlead_serving/archive_client.py
@@ -4,10 +4,11 @@
 from collections import OrderedDict
 
 import structlog
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from toucanlead_archive.directory import ArchiveRecord, PeerDirectory, spread_over_zones
 from toucanlead_core.errors import NotSent, OutcomeUnknown, Reason, Refusal, Step
+from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import Timers
 from toucanlead_kv.kv import Compare, KeyValueStore, Put
 from toucanlead_peer.serving_interfaces import ArchiveTransport, Turn, TurnChain
@@ -49,6 +50,18 @@
             self.size -= evicted.size
 
 
+@frozen
+class NoteSearch:
+    """The text of a note, None if none was found, and for how long it is kept on.
+
+    `complete` says that a note that was not found does not exist: every archive answered.
+    """
+
+    text: str | None
+    keep_s: float
+    complete: bool
+
+
 class ArchiveClient:
     """Stores and fetches turns for an entry.
 
@@ -76,6 +89,7 @@
         self._region = region
         self.copies = copies
         self._failed_at: dict[str, float] = {}
+        self._tasks = TaskSet()
         self.cache = TurnCache()
 
     async def history(self, previous: str, program: str, deadline_at: float) -> bytes:
@@ -131,6 +145,37 @@
         found, _ = await self._find_note(ident, self._note_archives(key))
         return None if found is None else found.input.decode()
 
+    async def write_note(self, ident: str, key: str, text: str, keep_s: float) -> bool:
+        """Write a note under an unused id; return whether it is durable on one disk.
+
+        The other copies are written in the background.
+        """
+        note = Turn(ident, '', text.encode(), b'', keep_s)
+        candidates = [a for a in self._write_candidates(key) if self._may_try(a)]
+        chosen = candidates[: self.copies]
+        disks = tuple(archive.disk for archive in chosen)
+        writes = [self._tasks.spawn(self._put(a, note, disks), 'note') for a in chosen]
+        for write in asyncio.as_completed(writes):
+            if await write:
+                return True
+        return False
+
+    async def find_note(self, ident: str, key: str) -> NoteSearch:
+        """Search all archives for a note, first those that are likely to hold it."""
+        archives = self._read_candidates(key)
+        likely, rest = archives[: 2 * self.copies], archives[2 * self.copies :]
+        found, unanswered = await self._find_note(ident, likely)
+        if found is None and rest:
+            found, more_unanswered = await self._find_note(ident, rest)
+            unanswered += more_unanswered
+        if found is None:
+            return NoteSearch(None, 0.0, complete=bool(archives) and not unanswered)
+        return NoteSearch(found.input.decode(), found.keep_s, complete=True)
+
+    async def close(self) -> None:
+        """Cancel the writes in the background."""
+        await self._tasks.cancel()
+
     def _note_archives(self, key: str) -> list[ArchiveRecord]:
         """Return the only archives that may hold a note.
 
--- a/libs/serving/toucanlead_serving/dispatch.py
+++ b/libs/serving/toucanlead_serving/dispatch.py
@@ -43,18 +43,24 @@
         self._region = region
 
     def choose_replica(
-        self, service: str, req: CallerReq, avoid: Set[str], only: Set[str] | None
+        self,
+        service: str,
+        req: CallerReq,
+        avoid: Set[str],
+        only: Set[str] | None,
+        versions: Set[str] | None = None,
     ) -> Replica | None:
         """Return the replica for a request, or None if no usable one is left.
 
-        `avoid` excludes replicas by id; `only`, if given, restricts the choice to its ids.
+        `avoid` excludes replicas by id; `only` and `versions`, if given, restrict the choice
+        to ids and to software versions.
         The request must then be sent, or its token returned: it counts against the limit that
         the replica names.
         """
         now = self._timers.now()
         usable = {
             replica.ident: replica
-            for replica in self._usable(service, only)
+            for replica in self.usable(service, only, versions)
             if self.limits.may_send(replica)
         }
         candidates = [self._candidate(replica, now) for replica in usable.values()]
@@ -83,16 +89,21 @@
             token_held=self.limits.holds_token(replica),
         )
 
-    def is_limit_reached(self, service: str, only: Set[str] | None) -> bool:
+    def is_limit_reached(
+        self, service: str, only: Set[str] | None, versions: Set[str] | None = None
+    ) -> bool:
         """Return whether the limits of usable replicas are all that keeps a request waiting.
 
-        `only` is as in `choose_replica`.
+        `only` and `versions` are as in `choose_replica`.
         """
-        usable = self._usable(service, only)
+        usable = self.usable(service, only, versions)
         return bool(usable) and not any(self.limits.may_send(replica) for replica in usable)
 
-    def _usable(self, service: str, only: Set[str] | None) -> list[Replica]:
-        usable = self.registry.usable(service, self._timers.now())
+    def usable(
+        self, service: str, only: Set[str] | None, versions: Set[str] | None = None
+    ) -> list[Replica]:
+        """Return the usable replicas; `only` and `versions` are as in `choose_replica`."""
+        usable = self.registry.usable(service, self._timers.now(), versions)
         return [replica for replica in usable if only is None or replica.ident in only]
 
     @asynccontextmanager
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -48,6 +48,9 @@
 from .reload import SettingsReload
 from .replica_limits import ASK_PERIOD_S, ReplicaLimits
 from .routes import CurrentRoutes
+from .stream_origins import StreamOrigins
+from .version_lists import UPKEEP_PERIOD_S as VERSIONS_PERIOD_S
+from .version_lists import VersionLists
 
 log = structlog.get_logger()
 
@@ -125,6 +128,22 @@
             lambda: list(self.directory.entries.values()),
             self.metrics,
         )
+        self.version_lists = VersionLists(
+            address,
+            self._store,
+            self.registry,
+            self._timers,
+            lambda: list(self.directory.entries.values()),
+            self._heard_at,
+            process.first_start,
+        )
+        self.stream_origins = StreamOrigins(
+            self.version_lists,
+            self.archive_client,
+            self.registry,
+            self._timers,
+            self.metrics,
+        )
         self.crash_watch = CrashWatch(self._replica_client, self._timers, self.verdicts.report)
         self.forwarder = Forwarder(
             self.routes,
@@ -133,6 +152,8 @@
             self.budgets,
             self.crash_watch,
             self.verdicts,
+            self.stream_origins,
+            self.version_lists,
             self._timers,
             self.metrics,
         )
@@ -147,7 +168,11 @@
         )
         watched = [
             *adapter.watched_prefixes(self.routes, self.registry, self._timers.now),
-            WatchedPrefix('members', PEER_PREFIX, TeeSink(self.directory, self.verdicts)),
+            WatchedPrefix(
+                'members',
+                PEER_PREFIX,
+                TeeSink(self.directory, self.verdicts, self.version_lists),
+            ),
         ]
         self.follower = ChangeFollower(
             self._store,
@@ -177,6 +202,7 @@
         self._timer_handles = [
             every(PROBE_PERIOD_S, self.follower.probe_if_relayed, 'probe'),
             every(ASK_PERIOD_S, self.limits.ask_ahead, 'rate tokens'),
+            every(VERSIONS_PERIOD_S, self.version_lists.update, 'versions'),
         ]
         self._tasks.spawn(self.budgets.record_debts(), 'debts')
         self._tasks.spawn(self._upkeep(), 'upkeep')
@@ -202,6 +228,10 @@
     def _config_version(self) -> int:
         return self.routes.table.version if self.routes.table else 0
 
+    def _heard_at(self) -> float | None:
+        """Return when this process last missed no change, None until it has all entries."""
+        return self.follower.heard_at if self.follower.synced.is_set() else None
+
     def _region_entries(self) -> list[str]:
         """Return the peer addresses of this region's entries."""
         region = self.settings.process.region
@@ -248,6 +278,8 @@
             handle.cancel()
         await self.crash_watch.close()
         await self.verdicts.close()
+        await self.stream_origins.close()
+        await self.archive_client.close()
         await self.limits.close()
         await self.rate_keepers.close()
         await self._tasks.cancel()
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -1,6 +1,7 @@
 """Forwarder: sends callers' requests to replicas and returns the responses."""
 
 import asyncio
+from collections.abc import Set
 from contextlib import asynccontextmanager
 
 import structlog
@@ -31,6 +32,8 @@
 from .replica_client import NotExecuted, ReplicaResponse
 from .request import CallerReq, ReplicaCall, ResponseSink
 from .routes import CurrentRoutes, RouteKind
+from .stream_origins import StreamOrigins
+from .version_lists import VersionLists
 
 log = structlog.get_logger()
 
@@ -55,6 +58,8 @@
         budgets: Budgets,
         crash_watch: CrashWatch,
         verdicts: CrashVerdicts,
+        origins: StreamOrigins,
+        version_lists: VersionLists,
         timers: Timers,
         metrics: ServingMetrics,
     ) -> None:
@@ -64,6 +69,8 @@
         self._budgets = budgets
         self._crash_watch = crash_watch
         self._verdicts = verdicts
+        self._origins = origins
+        self._version_lists = version_lists
         self._timers = timers
         self._metrics = metrics
         self._shielded_tasks: set[asyncio.Task] = set()
@@ -195,6 +202,8 @@
 
     async def _forward_stream(self, active: ActiveRequest, sink: ResponseSink) -> None:
         req = active.req
+        if req.resumes or req.resume_after:
+            await self._find_origin(active)
         body = await self._body_with_history(active)
         await self._reserve(active)
         try:
@@ -222,10 +231,28 @@
             if active.route.keeps_history:
                 await self._store_turn(active)
             await sink.end()
+            self._origins.record_end(req.ident)
         finally:
             if active.reservation is not None:
                 self._budgets.settle(active.reservation)
 
+    async def _find_origin(self, active: ActiveRequest) -> None:
+        """Bind a stream that the caller resumes to its version; raise Refusal if that fails."""
+        req, route = active.req, active.route
+        service = route.service_for(_split_key(req))
+        active.origin = await self._origins.find(req.ident, req.resumes, service)
+        if active.origin.service not in {target.service for target in route.targets}:
+            raise self._version_gone(active)
+
+    def _version_gone(self, active: ActiveRequest) -> Refusal:
+        origin = active.origin
+        return Refusal(
+            Reason.STREAM_VERSION_GONE,
+            f'the stream began at {origin.service} {origin.version}, which no replica serves now',
+            ran=active.ran,
+            step=Step.ROUTE,
+        )
+
     async def _body_with_history(self, active: ActiveRequest) -> bytes:
         req = active.req
         if not active.route.keeps_history or req.previous_turn is None:
@@ -290,6 +317,10 @@
                     stall.reschedule(None)
                     self._count_tokens(active, len(with_data))
                     if not sink.head_sent:
+                        if active.route.repeatable:
+                            active.origin = await self._origins.record(
+                                active.req.ident, active.replica
+                            )
                         await sink.send_head(response.head, None)
                     await sink.write(b''.join(event.raw for event in events))
                     active.events.extend(with_data)
@@ -374,13 +405,19 @@
     async def _wait_for_replica(self, active: ActiveRequest) -> Replica:
         """Return the replica to send to; wait while the limits of all replicas are reached."""
         self._verdicts.check(active.content, active.ran)
-        service = active.route.service_for(_split_key(active.req))
+        origin = active.origin
+        service = origin.service if origin else active.route.service_for(_split_key(active.req))
+        versions = {origin.version} if origin else None
         wait_until = min(active.expires_at, self._timers.now() + QUEUE_S)
         while True:
-            replica = self._choose_replica(active, service)
+            if origin is not None and self._origins.is_doubtful(origin):
+                raise self._version_gone(active)
+            replica = self._choose_replica(active, service, versions)
             if replica is not None:
                 return replica
-            if not self._dispatch.is_limit_reached(service, self._allowed(active)):
+            if not self._dispatch.is_limit_reached(service, self._allowed(active), versions):
+                if origin is not None:
+                    raise self._version_gone(active)
                 raise Refusal(
                     Reason.NO_REPLICA,
                     service,
@@ -397,17 +434,27 @@
         """Return the replicas that a request may still be sent to, None for all."""
         return active.tried if len(active.tried) >= active.route.max_attempts else None
 
-    def _choose_replica(self, active: ActiveRequest, service: str) -> Replica | None:
+    def _choose_replica(
+        self, active: ActiveRequest, service: str, versions: Set[str] | None
+    ) -> Replica | None:
+        """Return a replica, of one of the versions if given; new streams prefer listed ones."""
         only = self._allowed(active)
-        replica = self._dispatch.choose_replica(service, active.req, active.avoid, only)
-        if replica is not None or self._dispatch.is_limit_reached(service, only):
+        preferred = versions or self._version_lists.to_prefer(service)
+        replica = self._dispatch.choose_replica(service, active.req, active.avoid, only, preferred)
+        if replica is None and versions is None and preferred is not None:
+            replica = self._dispatch.choose_replica(service, active.req, active.avoid, only)
+        if replica is not None or self._dispatch.is_limit_reached(service, only, versions):
             return replica
         if only is not None:  # all tried replicas are gone or avoided
             active.tried.clear()
-            replica = self._dispatch.choose_replica(service, active.req, active.avoid, None)
+            replica = self._dispatch.choose_replica(
+                service, active.req, active.avoid, None, versions
+            )
         if replica is None and active.avoid:
             active.avoid.clear()
-            replica = self._dispatch.choose_replica(service, active.req, active.avoid, None)
+            replica = self._dispatch.choose_replica(
+                service, active.req, active.avoid, None, versions
+            )
         return replica
 
     async def _avoid_replica(
@@ -472,4 +519,5 @@
 
 
 def _split_key(req: CallerReq) -> str:
-    return req.program.program if req.program else req.ident
+    """Return what selects the service of a route that is split: the same for a stream's tries."""
+    return req.program.program if req.program else req.resumes or req.ident
--- a/libs/serving/toucanlead_serving/metrics.py
+++ b/libs/serving/toucanlead_serving/metrics.py
@@ -29,6 +29,12 @@
             'Requests sent to replicas that name a rate limit',
             registry=self.registry,
         )
+        self._resumed = Counter(
+            'toucanlead_resumed_streams',
+            'Streams that callers resumed, by how their version is known',
+            ['source'],
+            registry=self.registry,
+        )
         self._latency = Histogram(
             'toucanlead_answer_seconds',
             'Time to the whole answer',
@@ -58,6 +64,10 @@
         """Count a request to a replica that names a rate limit."""
         self._sent_to_limited.inc()
 
+    def resumed(self, source: str) -> None:
+        """Count a stream that a caller resumed at the version that began it."""
+        self._resumed.labels(source).inc()
+
     def gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each scrape."""
         Gauge(name, help_text, registry=self.registry).set_function(read)
--- a/libs/serving/toucanlead_serving/registry.py
+++ b/libs/serving/toucanlead_serving/registry.py
@@ -1,5 +1,8 @@
 """Registry of replicas: which exist, and which may receive new requests."""
 
+from collections import defaultdict
+from collections.abc import Set
+
 from attrs import define, field, frozen
 
 REMOVAL_GRACE_S = 2.0  # registrations that expire in a key-value outage return within this
@@ -59,17 +62,18 @@
 class Registry:
     """All known replicas by id, updated from the key-value service.
 
-    `regions` maps each zone to its region.
+    `regions` maps each zone to its region; `changes` counts what has changed.
     """
 
     regions: dict[str, str]
     replicas: dict[str, Replica] = field(factory=dict)
     changed_at: float = 0.0
+    changes: int = 0
 
     def put(self, record: ReplicaRecord, now: float) -> None:
         """Add or update a replica."""
         known = self.replicas.get(record.ident)
-        self.changed_at = now
+        self._record_change(now)
         if known is None or not _same_run(known.record, record):
             region = self.regions.get(record.zone, record.zone)
             known = Replica(record, region, now)
@@ -86,7 +90,7 @@
         known = self.replicas.get(ident)
         if known is not None and known.removed_at is None:
             known.removed_at = now
-            self.changed_at = now
+            self._record_change(now)
 
     def replace(self, records: list[ReplicaRecord], now: float) -> None:
         """Apply a full snapshot; replicas missing from it are marked as removed."""
@@ -97,14 +101,20 @@
         for record in records:
             self.put(record, now)
 
-    def usable(self, service: str, now: float) -> list[Replica]:
+    def usable(self, service: str, now: float, versions: Set[str] | None = None) -> list[Replica]:
         """Return the replicas of a service that may receive new requests.
 
-        Replicas removed a moment ago are returned only when no other is left, because
-        registrations also expire while the key-value service is unavailable.
+        `versions`, if given, restricts them to these software versions. Replicas removed a
+        moment ago are returned only when no other is left, because registrations also expire
+        while the key-value service is unavailable.
         """
         self._drop_removed(now)
-        of_service = [r for r in self.replicas.values() if r.record.service == service]
+        of_service = [
+            replica
+            for replica in self.replicas.values()
+            if replica.record.service == service
+            and (versions is None or replica.record.version in versions)
+        ]
         ready = [r for r in of_service if r.removed_at is None and not r.leaving]
         if ready:
             return ready
@@ -114,6 +124,17 @@
         """Return the services that have replicas."""
         return {replica.record.service for replica in self.replicas.values()}
 
+    def versions(self) -> dict[str, set[str]]:
+        """Return the software versions of the known replicas of each service."""
+        versions: dict[str, set[str]] = defaultdict(set)
+        for replica in self.replicas.values():
+            versions[replica.record.service].add(replica.record.version)
+        return versions
+
+    def _record_change(self, now: float) -> None:
+        self.changed_at = now
+        self.changes += 1
+
     def _drop_removed(self, now: float) -> None:
         expired = [
             ident
@@ -122,6 +143,7 @@
         ]
         for ident in expired:
             del self.replicas[ident]
+            self.changes += 1
 
 
 def _same_run(old: ReplicaRecord, new: ReplicaRecord) -> bool:
