Tasks of a played site are cancelled again at its end, as those of a process are

What was seen: test_two_such_requests_are_known_everywhere_while_the_service_is_away never ended; after the scenario one task (Budgets.record_debts) went on, cancelled once (a dump of the tasks shows it). Cause: a cancellation that meets a lost connection is replaced by its error in a library; TaskSet.cancel repeats it for that reason, the end of a played site did not. Change: one function for both.

--- a/libs/core/toucanlead_core/tasks.py
+++ b/libs/core/toucanlead_core/tasks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import traceback
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from typing import Any
 
 import structlog
@@ -12,6 +12,19 @@
 CANCEL_AGAIN_S = 0.2
 
 
+async def cancel_all(tasks: Iterable[asyncio.Task]) -> None:
+    """Cancel tasks and wait until they have ended.
+
+    A task is cancelled again if it goes on: a library that reports a lost connection at
+    the same moment may have replaced the cancellation by its own error.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
+
+
 class TaskSet:
     """The background tasks of one process; logs their failures and cancels them together."""
 
@@ -26,16 +39,8 @@
         return task
 
     async def cancel(self) -> None:
-        """Cancel all tasks and wait until they have ended.
-
-        A task is cancelled again if it goes on: a library that reports a lost connection at
-        the same moment may have replaced the cancellation by its own error.
-        """
-        pending = set(self._tasks)
-        while pending:
-            for task in pending:
-                task.cancel()
-            _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
+        """Cancel all tasks and wait until they have ended."""
+        await cancel_all(self._tasks)
 
     def _on_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
--- a/libs/standins/toucanlead_standins/memory_network.py
+++ b/libs/standins/toucanlead_standins/memory_network.py
@@ -15,6 +15,8 @@
 
 from attrs import define, field
 
+from toucanlead_core.tasks import cancel_all
+
 from .virtual_loop import VirtualLoop
 
 T = TypeVar('T')
@@ -383,7 +385,10 @@
     """Run a coroutine to its end in virtual time, with an in-memory network."""
 
     async def with_network() -> T:
-        return await main(asyncio.get_running_loop().network)
+        try:
+            return await main(asyncio.get_running_loop().network)
+        finally:
+            await cancel_all(asyncio.all_tasks() - {asyncio.current_task()})
 
     with asyncio.Runner(loop_factory=MemoryLoop) as runner:
         return runner.run(with_network())
