--- a/libs/cli/toucanlead/explain.py
+++ b/libs/cli/toucanlead/explain.py
@@ -55,14 +55,20 @@
 def select_lines(lines: Iterable[LogLine], ident: str) -> list[LogLine]:
     """Return the lines about a request, turn or program in order of time.
 
-    Includes lines with nearby times about its program, its previous turn and the
-    processes that served it, such as the loss of a dependency. Returns an empty list if
-    no line has the id.
+    Includes the lines of the request whose stream it resumes, and lines with nearby times
+    about its program, its previous turn and the processes that served it, such as the loss
+    of a dependency. Returns an empty list if no line has the id.
     """
     all_lines = list(lines)
     matching = [line for line in all_lines if line.has_id(ident)]
     if not matching:
         return []
+    resumed = {line.fields.get('resumes', '') for line in matching} - {''}
+    matching += [
+        line
+        for line in all_lines
+        if line not in matching and any(line.has_id(first) for first in resumed)
+    ]
     begin = min(line.time for line in matching) - TIME_BEFORE
     end = max(line.time for line in matching) + TIME_AFTER
     previous = {line.fields.get('previous', '') for line in matching} - {''}
--- a/libs/serving/toucanlead_serving/archive_client.py
+++ b/libs/serving/toucanlead_serving/archive_client.py
@@ -188,10 +188,20 @@
     async def _find_note(
         self, ident: str, archives: list[ArchiveRecord]
     ) -> tuple[Turn | None, int]:
-        """Ask archives at the same time; return the note, and how many did not answer."""
-        replies = await asyncio.gather(*(self._fetch_from(a, ident) for a in archives))
-        turns = [turn for chain in replies if chain is not None for turn in chain.turns[:1]]
-        return next(iter(turns), None), replies.count(None)
+        """Ask archives at the same time; return the note, or how many did not answer."""
+        unanswered = 0
+        fetches = [asyncio.ensure_future(self._fetch_from(a, ident)) for a in archives]
+        try:
+            for fetch in asyncio.as_completed(fetches):
+                chain = await fetch
+                if chain is None:
+                    unanswered += 1
+                elif chain.turns:
+                    return chain.turns[0], 0
+        finally:
+            for fetch in fetches:
+                fetch.cancel()
+        return None, unanswered
 
     async def _put_on_disks(self, turn: Turn, candidates: list[ArchiveRecord]) -> list[str]:
         """Write copies to archives in parallel, then to spares; return the disks written."""
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -382,7 +382,13 @@
         resume_after = active.req.resume_after
         if active.events:
             resume_after = active.events[-1].ident
-        return ReplicaCall(active.req, body, active.expires_at, resume_after=resume_after)
+        return ReplicaCall(
+            active.req,
+            body,
+            active.expires_at,
+            resume_after=resume_after,
+            same_run=active.origin is not None,
+        )
 
     @asynccontextmanager
     async def _send(self, active: ActiveRequest, call: ReplicaCall):
--- a/libs/serving/toucanlead_serving/registry.py
+++ b/libs/serving/toucanlead_serving/registry.py
@@ -125,10 +125,11 @@
         return {replica.record.service for replica in self.replicas.values()}
 
     def versions(self) -> dict[str, set[str]]:
-        """Return the software versions of the known replicas of each service."""
+        """Return the software versions of the registered replicas of each service."""
         versions: dict[str, set[str]] = defaultdict(set)
         for replica in self.replicas.values():
-            versions[replica.record.service].add(replica.record.version)
+            if replica.removed_at is None:
+                versions[replica.record.service].add(replica.record.version)
         return versions
 
     def _record_change(self, now: float) -> None:
--- a/libs/serving/toucanlead_serving/request.py
+++ b/libs/serving/toucanlead_serving/request.py
@@ -104,7 +104,8 @@
 class ReplicaCall:
     """One call to a replica: the caller's request with the entry's additions.
 
-    `priority` is the engine's priority, from 0 (highest) to 9.
+    `priority` is the engine's priority, from 0 (highest) to 9. `same_run` says that only the
+    listed run of the replica may get it, and no other one that has started under its id.
     """
 
     req: CallerReq
@@ -112,6 +113,7 @@
     deadline_at: float
     priority: int | None = None
     resume_after: str | None = None
+    same_run: bool = False
 
 
 @frozen
--- a/tests/platform/test_explain.py
+++ b/tests/platform/test_explain.py
@@ -108,6 +108,23 @@
                 await asyncio.sleep(1.0)
         assert_explains(logs.explain(reply.ident), 'A request got 503: `crashes_replicas`')
 
+    @with_platform_site(engines=4, versions=('v1', 'v2'))
+    async def test_a_stream_whose_version_is_gone(self, site, caller):
+        for replica in engine_replicas(site):
+            replica.events = 20
+        with LogCapture() as logs:
+            first = await caller.resumable_turn(ENTRY_1, disconnect_after_s=0.2)
+            (version,) = first.versions
+            for replica in engine_replicas(site):
+                if replica.version == version:
+                    site.stop_replica(replica)
+            await asyncio.sleep(3.0)
+            reply = await caller.resume(ENTRY_2, first, first)
+        assert reply.status == 503
+        output = logs.explain(reply.ident)
+        assert_explains(output, 'A resumed stream got 503: `stream_version_gone`')
+        assert f'request={first.ident}' in output
+
 
 class TestCommand:
     def test_says_when_no_line_names_the_id(self):
