--- a/libs/policy/toucanlead_policy/stream_versions.py
+++ b/libs/policy/toucanlead_policy/stream_versions.py
@@ -65,6 +65,9 @@
         return frozenset(v for v, since in absent if now - since > STREAM_LIFETIME_S)
 
     def to_prefer(self) -> frozenset[str] | None:
-        """Return the versions at which new streams should begin, None for all."""
-        listed = self.listed & self.present
+        """Return the versions at which new streams should begin, None for all.
+
+        While knowledge is not fresh, the list cannot be extended, and new replicas would idle.
+        """
+        listed = self.listed & self.present if self.fresh else frozenset()
         return listed if listed and listed != self.present else None
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -50,6 +50,8 @@
         versions = ServiceVersions(frozenset({'v1'}))
         versions.observe({'v1', 'v2'}, True, 0.0)
         assert versions.to_prefer() == {'v1'}
+        versions.observe({'v1', 'v2'}, False, 0.0)
+        assert versions.to_prefer() is None
         versions.observe({'v2'}, True, 0.0)
         assert versions.to_prefer() is None
 
