Only streams prefer listed versions; a doubtful origin is refused as unknown

Cause: calls of applications, which nobody resumes, waited for the list of versions too, and a refusal said that no replica serves a version that may well be served. Change: the preference is for streams; the refusal names the replica that runs another version now. Result: test_stream_versions.py and test_whole_path.py pass.

--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -418,7 +418,12 @@
         wait_until = min(active.expires_at, waiting_since + QUEUE_S)
         while True:
             if origin is not None and self._origins.is_doubtful(origin):
-                raise self._version_gone(active)
+                raise Refusal(
+                    Reason.STREAM_VERSION_UNKNOWN,
+                    f'{origin.replica} runs another version than {origin.version} now',
+                    ran=active.ran,
+                    step=Step.ROUTE,
+                )
             replica = self._choose_replica(active, service, versions)
             if replica is not None:
                 return replica
@@ -446,7 +451,9 @@
     ) -> Replica | None:
         """Return a replica, of one of the versions if given; new streams prefer listed ones."""
         only = self._allowed(active)
-        preferred = versions or self._version_lists.to_prefer(service)
+        preferred = versions
+        if preferred is None and active.route.kind is RouteKind.STREAM:
+            preferred = self._version_lists.to_prefer(service)
         replica = self._dispatch.choose_replica(service, active.req, active.avoid, only, preferred)
         if replica is None and versions is None and preferred is not None:
             replica = self._dispatch.choose_replica(service, active.req, active.avoid, only)
