The fault soak plays releases and the loss of all entries at once, and resumes broken streams

Cause: the soak had one software version, and its callers never resumed a stream. Change: engines of two versions that change by releases, streams that break, all entries killed at once now and then, up to three tries to resume at other entries; no stream may hold events of two versions.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -53,7 +53,7 @@
     """One program on one address, started again under the same name whenever it ended.
 
     `disturbed` has the loop times between which the process was killed, paused or away;
-    what it was asked then may go unanswered.
+    what it was asked then may go unanswered. Whoever sends it signals holds `signals`.
     """
 
     vm: Vm
@@ -66,6 +66,7 @@
     starts_before: int = 0
     disturbed: list[tuple[float, float]] = field(factory=list)
     bad_exits: list[int] = field(factory=list)
+    signals: asyncio.Lock = field(factory=asyncio.Lock)
 
     async def start(self) -> None:
         """Write the settings and start the program."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,6 +6,7 @@
 import asyncio
 import os
 import random
+from contextlib import AsyncExitStack
 
 import orjson
 import pytest
@@ -25,6 +26,8 @@
 READY_LIMIT_S = 30.0
 TURN_TOKENS = 290
 CALLERS = 6
+STREAM_EVENTS = 20
+MAX_RESUMES = 3
 DEADLINE_MS = 2000
 LOSS_SLACK_S = 0.2  # a request that crosses the closing of an idle connection is not lost
 
@@ -43,6 +46,7 @@
         self.net = subnet(seed)
         self.log = RunLog()
         self.replies = []
+        self.resumed = []
         self.budgets = {}
         self.processes = []
         self.replicas = []
@@ -65,6 +69,8 @@
                 self.log,
                 engine=service == ENGINES,
             )
+            replica.events = STREAM_EVENTS
+            replica.version = ('v1', 'v1', 'v2')[number % 3]
             self.replicas.append(replica)
             await replica.start()
         seeds = [f'{self.net}.{20 + number}' for number in range(3)]
@@ -93,6 +99,7 @@
         callers = [asyncio.ensure_future(self._call(number, end)) for number in range(CALLERS)]
         faults = [asyncio.ensure_future(self._disturb(process, end)) for process in self.processes]
         faults.append(asyncio.ensure_future(self._disturb_service(end)))
+        faults.append(asyncio.ensure_future(self._disturb_all_entries(end)))
         await asyncio.gather(*callers, *faults)
         await asyncio.sleep(1.0)
 
@@ -110,8 +117,35 @@
                 began = loop.time()
                 reply = await call(process.vm, deadline_ms=DEADLINE_MS)
                 self.replies.append((call.__name__, process, began, loop.time(), reply))
+                if call == caller.resumable_turn and reply.status == 0 and reply.event_data:
+                    self.resumed.append(await self._resume(caller, rng, reply))
                 await asyncio.sleep(0.05 * rng.random())
 
+    async def _resume(self, caller, rng, first):
+        """Resume a broken stream at other entries; return all of its tries."""
+        tries = [first]
+        for _ in range(MAX_RESUMES):
+            held = [reply for reply in tries if reply.event_data][-1]
+            process = rng.choice(self.entries)
+            tries.append(await caller.resume(process.vm, first, held, deadline_ms=DEADLINE_MS))
+            if tries[-1].succeeded:
+                break
+            await asyncio.sleep(0.3 * rng.random())
+        return tries
+
+    async def _disturb_all_entries(self, end):
+        """Kill all entries at once, once in a while."""
+        rng = random.Random(self.rng.random())
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(4.0 + 4.0 * rng.random())
+            if loop.time() > end:
+                return
+            async with AsyncExitStack() as stack:
+                for process in self.entries:
+                    await stack.enter_async_context(process.signals)
+                await asyncio.gather(*(process.kill_and_start(rng) for process in self.entries))
+
     async def _disturb(self, process, end):
         rng = random.Random(self.rng.random())
         loop = asyncio.get_running_loop()
@@ -120,14 +154,15 @@
             if loop.time() > end:
                 return
             actions = (process.stop_and_start, process.kill_and_start, process.pause)
-            await rng.choice((*actions, process.reload))(rng)
+            async with process.signals:
+                await rng.choice((*actions, process.reload))(rng)
 
     async def _disturb_service(self, end):
         rng = random.Random(self.rng.random())
         loop = asyncio.get_running_loop()
         while loop.time() < end:
             await asyncio.sleep(2.0 * rng.random())
-            fault = rng.choice(('down', 'lose_answers', 'watches', 'replica'))
+            fault = rng.choice(('down', 'lose_answers', 'watches', 'replica', 'release'))
             if fault == 'down':
                 self.service.faults.down = True
                 await asyncio.sleep(1.5 * rng.random())
@@ -136,8 +171,13 @@
                 self.service.faults.lose_answers = 2
             elif fault == 'watches':
                 self.service.abort_watches()
+            elif fault == 'release':
+                engine = rng.choice([r for r in self.replicas if r.engine])
+                engine.release({'v1': 'v2', 'v2': 'v1'}[engine.version])
             else:
-                rng.choice(self.replicas).faults.lose_answers = 1
+                replica = rng.choice(self.replicas)
+                replica.faults.lose_answers = 1
+                replica.faults.break_after_events = 5
 
     async def end(self):
         for process in self.processes:
@@ -160,6 +200,9 @@
             broken = reply.status == 0 and connected and not runs
             if broken and LOSS_SLACK_S < ended - began < DEADLINE_MS / 1e3:
                 assert process.was_disturbed(began - 1.0, ended + 1.0), what
+        for tries in self.resumed:
+            versions = set().union(*(reply.versions for reply in tries))
+            assert len(versions) == 1, [(reply.ident, reply.status) for reply in tries]
         for program, budget in self.budgets.items():
             spent = sum(
                 10 * run.events
