--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,14 +29,17 @@
         self.window_answers = self.copies = 0
 
     def refuse(self, ident, writer):
+        """Refuse, and remember on which connection."""
         super().refuse(ident, writer)
         self.refused[writer] = ident
 
     async def handle(self, first, headers, body, writer):
+        """Answer one request."""
         self.window_answers += 1
         await super().handle(first, headers, body, writer)
 
     async def run(self, ident, headers, body, writer):
+        """Run a request, after the second copy of an earlier refusal if one is due."""
         earlier = self.refused.pop(writer, None)
         allowed = self.copies + 1 <= SHARE_OF_ANSWERS * self.window_answers
         if self.doubles and earlier and allowed:
@@ -48,6 +51,7 @@
 
 
 async def play(site):
+    """Return whether an order ran twice, or ran and was refused."""
     apps = [Application(site, f'i-a{n}', APP, 'centro-a', slots=2, queue=1) for n in range(3)]
     llm = Engine(site, 'i-e0', LLM, 'centro-a')
     await site.start(
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,6 +23,7 @@
 
 
 async def play(site):
+    """Return whether the program was handed more than its budget and one turn."""
     llm = Model(site, 'i-e0', LLM, 'centro-a', slots=12)
     app = Replica(site, 'i-a0', APP, 'centro-a')
     await site.start(
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -25,11 +25,13 @@
     """An application whose orders take ORDER_S."""
 
     async def run(self, ident, headers, body, writer):
+        """Run an order."""
         await asyncio.sleep(ORDER_S)
         self.answer(ident, b'done ' + ident.encode(), writer)
 
 
 async def play(site):
+    """Return whether requests were cut that may not be."""
     llm = SlowModel(site, 'i-e0', LLM, 'centro-a', slots=60)
     app = Application(site, 'i-a0', APP, 'centro-a', slots=30)
     await site.start(
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,6 +12,7 @@
 
 
 async def play(site):
+    """Return whether most look-ups stay without an answer."""
     llm = Engine(site, 'i-e0', LLM, 'centro-a', slots=12)
     app = Replica(site, 'i-a0', APP, 'centro-a')
     await site.start(
@@ -34,18 +35,20 @@
     began, used = time.monotonic(), await processor_s()
     looks, ready = [], []
     while time.monotonic() < began + WATCHED_S:
-        looks.append(asyncio.ensure_future(
-            site.request(entry, 'GET', LOOK + 'x', deadline_ms=1200)
-        ))
+        looks.append(
+            asyncio.ensure_future(site.request(entry, 'GET', LOOK + 'x', deadline_ms=1200))
+        )
         ready.append(await entry.ready())
         await asyncio.sleep(0.5)
     answers = await asyncio.gather(*looks)
     share = (await processor_s() - used) / (time.monotonic() - began)
     site.record(f'the turn with at most {limit} output tokens: {await odd}')
     unanswered = [answer for answer in answers if not answer.complete]
-    site.record(f'look-ups without an answer 1 s after their deadline: {len(unanswered)} '
-                f'of {len(answers)}; readiness answered {sum(ready)} of {len(ready)} times; '
-                f'the entry used {100 * share:.0f} in 100 of a core')
+    site.record(
+        f'look-ups without an answer 1 s after their deadline: {len(unanswered)} '
+        f'of {len(answers)}; readiness answered {sum(ready)} of {len(ready)} times; '
+        f'the entry used {100 * share:.0f} in 100 of a core'
+    )
     return len(unanswered) > len(answers) / 2
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'lib'))
@@ -12,11 +11,14 @@
 
 
 class QuickModel(Engine):
+    """A model replica with short answers."""
+
     events = 2
     gap_s = 0.01
 
 
 async def play(site):
+    """Return whether a kept turn was answered 404."""
     llm = QuickModel(site, 'i-e0', LLM, 'centro-a', slots=40)
     app = Replica(site, 'i-a0', APP, 'centro-a')
     await site.start(
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -26,7 +26,14 @@
 LLM, APP = 'flama-llm', 'despacho-app'
 CHAT, PLAN, LOOK, ORDER = '/chat/', '/plan/', '/look/', '/order/'
 STRIDE = 10
-PORTS = {'front': 8149, 'ready': 8141, 'control': 8144, 'internal': 7380, 'store': 8142, 'replica': 8080}
+PORTS = {
+    'front': 8149,
+    'ready': 8141,
+    'control': 8144,
+    'internal': 7380,
+    'store': 8142,
+    'replica': 8080,
+}
 NOT_EXECUTED = 'Toucanlead-Not-Executed'
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
@@ -43,6 +50,7 @@
         self._start = time.monotonic()
 
     def __call__(self, text):
+        """Write a line."""
         line = f'{time.monotonic() - self._start:8.3f}  {text}'
         print(line, file=self._file, flush=True)
 
@@ -198,7 +206,7 @@
         if path == '/kv-lease':
             self.lease += 1
             return 200, {'lease': self.lease, 'ttlMs': document['ttlMs']}
-        if path.startswith('/kv-keep/') or path.startswith('/kv-lease-end/'):
+        if path.startswith(('/kv-keep/', '/kv-lease-end/')):
             return 200, {'ttlMs': 1000}
         return 404, {}
 
@@ -363,6 +371,7 @@
         self.tokens = {}
 
     async def run(self, ident, headers, body, writer):
+        """Generate the events of a turn."""
         self.bodies[ident] = body
         program = headers.get('toucanlead-program-id', '')
         limit = int(headers.get('toucanlead-token-usage', '0,1000').partition(',')[2])
@@ -397,14 +406,17 @@
 
     @property
     def ok(self):
+        """Return whether it is a whole success."""
         return self.status == 200 and self.complete
 
     @property
     def seconds(self):
+        """Return how long it took."""
         return self.ended_at - self.sent_at
 
     @property
     def tokens(self):
+        """Return the tokens of the whole events in it."""
         return STRIDE * self.body.count(b'\n\n')
 
     def __str__(self):
@@ -421,6 +433,7 @@
 
     @property
     def open(self):
+        """Return whether the connection is open."""
         return self.writer is not None and not self.reader.at_eof()
 
     async def request(self, method, path, headers=(), body=b'', *, deadline_ms=4000, ident=None):
@@ -471,6 +484,7 @@
         answer.complete = True
 
     def close(self):
+        """Close the connection."""
         if self.writer is not None:
             self.writer.close()
         self.reader = self.writer = None
@@ -508,6 +522,7 @@
         self.settings_path.parent.mkdir()
 
     def address(self, what):
+        """Return the host:port of one of its listening addresses."""
         return f'{self.host}:{PORTS[what]}'
 
     async def start(self):
@@ -522,8 +537,12 @@
         env['TOUCANLEAD_SETTINGS'] = str(self.settings_path)
         with self.log_path.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
-                *command.split(' '), cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL,
-                stdout=log, stderr=log,
+                *command.split(' '),
+                cwd=ROOT,
+                env=env,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
         self.site.record(f'{self.name} starts at {self.host}, pid {self.process.pid}')
 
@@ -580,9 +599,7 @@
         if match[1] == '^':
             return '' if value else render(match[3], scopes)
         pairs = value.items() if isinstance(value, dict) else enumerate(value or [])
-        text = ''.join(
-            render(match[3], [{'.': item, '@': key}, *scopes]) for key, item in pairs
-        )
+        text = ''.join(render(match[3], [{'.': item, '@': key}, *scopes]) for key, item in pairs)
         return text
 
     def fill_value(match):
@@ -596,6 +613,7 @@
 
 
 def lookup(name, scopes):
+    """Return the value of a dotted name, from the innermost scope that has it."""
     for scope in scopes:
         if name in scope:
             return scope[name]
@@ -639,10 +657,12 @@
         raise CannotRun('no free loopback addresses')
 
     def new_host(self):
+        """Return an unused loopback address."""
         self._last += 1
         return f'{self._net}.{self._last}'
 
     async def add_process(self, role, name, zone):
+        """Create a process with an address of the store of its own."""
         store_address = await self.store.listen(self.new_host())
         process = Process(self, role, name, zone, store_address)
         (self.entries if role == 'entry' else self.archives)[name] = process
@@ -653,30 +673,60 @@
 
         def route(name, prefix, kind, service, **fields):
             return {
-                'name': name, 'host': HOST, 'pathPrefix': prefix, 'kind': kind,
-                'timeoutMs': 4000, 'targetLatencyMs': 300, 'priority': 0, 'service': service,
-                'maxAttempts': 1, **fields, **changes.get(name, {}),
+                'name': name,
+                'host': HOST,
+                'pathPrefix': prefix,
+                'kind': kind,
+                'timeoutMs': 4000,
+                'targetLatencyMs': 300,
+                'priority': 0,
+                'service': service,
+                'maxAttempts': 1,
+                **fields,
+                **changes.get(name, {}),
             }
 
         stream = {'retentionS': 60.0, 'sticky': True, 'targetGapMs': 200}
         stream['timeoutMs'] = llm_timeout_ms
-        self.store.put('op/config', {
-            'version': version,
-            'routes': [
-                route('chat', CHAT, 'streaming', LLM, keepsContext=True, resumable=False, **stream),
-                route('plan', PLAN, 'streaming', LLM, keepsContext=False, resumable=True, **stream),
-                route('look', LOOK, 'safe', APP, timeoutMs=1200, maxAttempts=2),
-                route('order', ORDER, 'unsafe', APP, timeoutMs=2000),
-            ],
-            'services': [
-                {'name': LLM, 'healthPath': '/health', 'connectionLimit': 150, 'protocol': 'h1',
-                 'tls': False, 'engine': {'slots': 12, 'kvCacheTokens': 98048, 'stride': STRIDE}},
-                {'name': APP, 'healthPath': '/health', 'connectionLimit': 96, 'protocol': 'h1',
-                 'tls': False},
-            ],
-            'limits': {'headerBytes': 16384, 'bodyBytes': 4194304, 'headerTimeoutMs': 3000,
-                       'idleTimeoutMs': 15000},
-        })
+        self.store.put(
+            'op/config',
+            {
+                'version': version,
+                'routes': [
+                    route(
+                        'chat', CHAT, 'streaming', LLM, keepsContext=True, resumable=False, **stream
+                    ),
+                    route(
+                        'plan', PLAN, 'streaming', LLM, keepsContext=False, resumable=True, **stream
+                    ),
+                    route('look', LOOK, 'safe', APP, timeoutMs=1200, maxAttempts=2),
+                    route('order', ORDER, 'unsafe', APP, timeoutMs=2000),
+                ],
+                'services': [
+                    {
+                        'name': LLM,
+                        'healthPath': '/health',
+                        'connectionLimit': 150,
+                        'protocol': 'h1',
+                        'tls': False,
+                        'engine': {'slots': 12, 'kvCacheTokens': 98048, 'stride': STRIDE},
+                    },
+                    {
+                        'name': APP,
+                        'healthPath': '/health',
+                        'connectionLimit': 96,
+                        'protocol': 'h1',
+                        'tls': False,
+                    },
+                ],
+                'limits': {
+                    'headerBytes': 16384,
+                    'bodyBytes': 4194304,
+                    'headerTimeoutMs': 3000,
+                    'idleTimeoutMs': 15000,
+                },
+            },
+        )
 
     async def start(self, entries, archives, replicas, *, wait=True):
         """Start everything; `entries` and `archives` map names to zones."""
@@ -696,6 +746,7 @@
             await self.wait_members(len(entries), len(archives))
 
     async def wait_ready(self, entries, limit_s=30.0):
+        """Wait until entries are ready."""
         end = time.monotonic() + limit_s
         for entry in entries:
             while not await entry.ready():
@@ -718,6 +769,7 @@
         await asyncio.sleep(1.5)
 
     def connect(self, entry):
+        """Return a connection to an entry, not opened yet."""
         return Connection(self.record, entry.address('front'))
 
     async def request(self, entry, method, path, headers=(), body=b'', **options):
@@ -732,11 +784,10 @@
         """Send one turn on a new connection."""
         deadline_ms = options.pop('deadline_ms', 4000)
         headers = turn_headers(program, budget, **options)
-        return await self.request(
-            entry, 'POST', path + 'x', headers, body, deadline_ms=deadline_ms
-        )
+        return await self.request(entry, 'POST', path + 'x', headers, body, deadline_ms=deadline_ms)
 
     async def close(self):
+        """End all processes and remove the folder."""
         for process in [*self.entries.values(), *self.archives.values()]:
             await process.end()
         if os.environ.get('KEEP_LOGS'):
