--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,6 +10,7 @@
 from harness import APP, LLM, LOOK, ORDER, CannotRun, Engine, Replica, main
 
 WINDOW_S = 5.0  # `garble` with how 'extra late' in the site file: for_s
+WINDOWS = 3  # it may come more than once
 SHARE_OF_ANSWERS = 0.03  # its x; one replica of three is below its share, 0.6
 WORK_S = 0.12  # the longest `parts-order` takes 0.3 s
 
@@ -72,24 +73,25 @@
             await conn.request('GET', LOOK + 'x', deadline_ms=1200)
         conn.close()
 
-    apps[0].doubles = site.trouble
-    for app in apps:
-        app.window_answers = 0
-    end = time.monotonic() + WINDOW_S
-    while time.monotonic() < end - 1.2:
-        await asyncio.gather(*(looks(28) for _ in range(4)))
-        filling = []
-        for _ in range(9):  # takes all places of the three replicas
-            filling.append(asyncio.ensure_future(order(busy_entry)))
-            await asyncio.sleep(0.003)
-        await asyncio.sleep(0.015)
-        await order(entry)  # is refused at first, and runs when a place is free
-        await asyncio.gather(*filling)
-    apps[0].doubles = False
-    await asyncio.sleep(1.0)
+    for _ in range(WINDOWS):
+        apps[0].doubles = site.trouble
+        for app in apps:
+            app.window_answers = app.copies = 0
+        end = time.monotonic() + WINDOW_S
+        while time.monotonic() < end - 1.2:
+            await asyncio.gather(*(looks(28) for _ in range(4)))
+            filling = []
+            for _ in range(9):  # takes all places of the three replicas
+                filling.append(asyncio.ensure_future(order(busy_entry)))
+                await asyncio.sleep(0.003)
+            await asyncio.sleep(0.015)
+            await order(entry)  # is refused at first, and runs when a place is free
+            await asyncio.gather(*filling)
+        apps[0].doubles = False
+        site.record(f'copies of refusals: {apps[0].copies} of {apps[0].window_answers} answers')
+        await asyncio.sleep(1.0)
 
     runs = Counter(ident for app in apps for ident in app.runs)
-    site.record(f'copies of refusals: {apps[0].copies} of {apps[0].window_answers} answers')
     twice = [answer for answer in answers if runs[answer.ident] > 1]
     for answer in twice:
         site.record(f'TWICE: order {answer.ident} ran {runs[answer.ident]} times; {answer}')
