--- a/review/4/case.py
+++ b/review/4/case.py
@@ -84,8 +84,8 @@
     if site.trouble:
         entry.send(signal.SIGTERM)
     served = await asyncio.gather(*tasks)
-    if not all(served):
-        raise CannotRun('not all first turns were served')
+    if sum(served) < len(served) / 2:
+        raise CannotRun('most of the first turns were not served')
     site.record(f'cut without an answer although passed on to a sound replica: {len(cut)}')
     return bool(cut)
 
