A chain of turns is kept for as long as its newest turn

Cause: the disk store kept each turn for its own retention only, and an archive that took a chain up later (a failed archive, another region, another program) held only the turns written since. A turn whose beginning was gone was then taken for one that does not exist.

Change: a store drops a turn only when it has expired and no turn that continues it is held; a dropped turn releases the one before it. Nothing is written for that. A write names the nearest predecessor that the archive lacks; the entry, or the archive that copies, sends what is missing, so that every archive of the newest turn holds its whole chain. A turn costs one sync (its deletions are in the same transaction), one call for each copy and no bytes of older turns unless the chain has moved. The key-value service, used when too few archives answer, gets the older turns too. A missing turn before a known one is 503, not 404. Ids that callers use again cannot tie turns into a cycle.

--- a/libs/archive/toucanlead_archive/archive.py
+++ b/libs/archive/toucanlead_archive/archive.py
@@ -1,6 +1,7 @@
 """The archive, which stores turns for entries and returns them with their predecessors."""
 
 import asyncio
+from collections.abc import Iterable
 
 import structlog
 from attrs import frozen
@@ -32,41 +33,34 @@
 
     async def put(self, turn: Turn) -> StoreResult:
         """Store a turn; refuse it if the disk is full or being retired."""
-        if self.retiring:
-            return StoreResult(self.store.disk, False)
-        return await self._commit([turn])
+        return await self.copy([turn])
 
     async def copy(self, turns: list[Turn]) -> StoreResult:
-        """Store copies of turns that other disks hold; refuse them as `put` does."""
+        """Store copies of turns that other disks hold; refuse them as `put` does.
+
+        The result names the nearest predecessors that are not held here.
+        """
         if self.retiring:
             return StoreResult(self.store.disk, False)
-        return await self._commit(turns)
+        if not await self._commit(turns):
+            return StoreResult(self.store.disk, False)
+        missing = dict.fromkeys(self.store.missing_predecessor(turn.ident) for turn in turns)
+        return StoreResult(self.store.disk, True, tuple(ident for ident in missing if ident))
 
     async def fetch(self, ident: str, known: list[str]) -> TurnChain:
         """Return a turn and its predecessors, as far as they are held here and fit the limit."""
-        stop_at = set(known)
-        turns: list[Turn] = []
-        size = 0
-        while ident and ident not in stop_at and size < CHAIN_LIMIT_BYTES:
-            turn = self.store.read(ident)
-            if turn is None:
-                break
-            turns.append(turn)
-            size += turn.size
-            ident = turn.previous
-        return TurnChain(turns)
+        return TurnChain(read_chain(self.store, ident, CHAIN_LIMIT_BYTES, known))
 
     async def update_disks(self, idents: list[str], disks: tuple[str, ...]) -> int:
         """Update the disks that hold copies of turns; return how many turns are held here."""
         return self.store.update_disks(idents, disks)
 
-    async def _commit(self, turns: list[Turn]) -> StoreResult:
+    async def _commit(self, turns: list[Turn]) -> bool:
         pending = _PendingWrite(turns, asyncio.get_running_loop().create_future())
         self._pending.append(pending)
         if self._commit_task is None:
             self._commit_task = asyncio.ensure_future(self._write_pending())
-        stored = await pending.done
-        return StoreResult(self.store.disk, stored)
+        return await pending.done
 
     async def _write_pending(self) -> None:
         """Let other ready tasks add their writes, then commit all pending writes."""
@@ -87,6 +81,27 @@
             _complete(batch, True)
 
 
+def read_chain(
+    store: TurnStore, ident: str, limit_bytes: int, known: Iterable[str] = ()
+) -> list[Turn]:
+    """Return a turn and its predecessors, newest first.
+
+    Ends at the first that is in `known` or not held, and after `limit_bytes`.
+    """
+    seen = set(known)
+    turns: list[Turn] = []
+    size = 0
+    while ident and ident not in seen and size < limit_bytes:
+        turn = store.read(ident)
+        if turn is None:
+            break
+        seen.add(ident)
+        turns.append(turn)
+        size += turn.size
+        ident = turn.previous
+    return turns
+
+
 def _complete(batch: list[_PendingWrite], stored: bool) -> None:
     for pending in batch:
         if not pending.done.done():
--- a/libs/archive/toucanlead_archive/copy_maintenance.py
+++ b/libs/archive/toucanlead_archive/copy_maintenance.py
@@ -1,22 +1,21 @@
 """Maintenance of the copies of turns: replaces lost copies and drains retiring disks."""
 
 import asyncio
-from itertools import islice
+from collections.abc import Iterator
 
 import structlog
 from attrs import define, evolve, field, frozen
 
 from toucanlead_core.errors import NotSent, OutcomeUnknown
 from toucanlead_core.timers import Timers
-from toucanlead_peer.serving_interfaces import ArchiveTransport, Turn
+from toucanlead_peer.serving_interfaces import ArchiveTransport, StoreResult, Turn
 
-from .archive import Archive
+from .archive import CHAIN_LIMIT_BYTES, Archive, read_chain
+from .chains import batches, send_predecessors
 from .directory import ArchiveRecord, PeerDirectory, spread_over_zones
 
 log = structlog.get_logger()
 
-BATCH_TURNS = 64
-BATCH_BYTES = 256_000  # takes 0.14 s on the 15 Mbit/s link between regions
 COPY_TIMEOUT_S = 2.0
 PROBE_TIMEOUT_S = 0.5
 LOST_AFTER_JOIN_S = 1.0  # unreachable this long, presumed lost if another archive has joined since
@@ -121,13 +120,13 @@
         """Copy a group to as many other disks as copies are missing; return the turns copied."""
         copied = 0
         targets = self._targets(holders)
-        for batch in self._batches(group.idents):
+        for batch in batches(self._held_turns(group.idents)):
             new_holders = list(holders)
             for target in targets:
                 if len(new_holders) >= self.copies:
                     break
                 disks = (*new_holders, target.disk)
-                if await self._copy(target, [evolve(turn, disks=disks) for turn in batch]):
+                if await self._copy_chains(target, batch, disks):
                     new_holders.append(target.disk)
             if len(new_holders) > len(holders):
                 await self._update_holders([turn.ident for turn in batch], tuple(new_holders))
@@ -153,29 +152,37 @@
         same_zones = [record for record in candidates if record.zone in zones]
         return spread_over_zones(other_zones, self.copies) + same_zones
 
-    def _batches(self, idents: list[str]):
-        remaining = iter(idents)
-        while batch := list(islice(remaining, BATCH_TURNS)):
-            turns = [turn for ident in batch if (turn := self.archive.store.read(ident))]
-            chunk: list[Turn] = []
-            size = 0
-            for turn in turns:
-                if chunk and size + turn.size > BATCH_BYTES:
-                    yield chunk
-                    chunk, size = [], 0
-                chunk.append(turn)
-                size += turn.size
-            if chunk:
-                yield chunk
-
-    async def _copy(self, target: ArchiveRecord, turns: list[Turn]) -> bool:
+    def _held_turns(self, idents: list[str]) -> Iterator[Turn]:
+        return (turn for ident in idents if (turn := self.archive.store.read(ident)))
+
+    async def _copy_chains(
+        self, target: ArchiveRecord, turns: list[Turn], disks: tuple[str, ...]
+    ) -> bool:
+        """Copy turns, and those before them that the target does not hold."""
+
+        def chain_from(ident: str) -> list[Turn]:
+            return read_chain(self.archive.store, ident, CHAIN_LIMIT_BYTES)
+
+        async def copy(batch: list[Turn]) -> StoreResult:
+            return await self._copy(target, batch, disks)
+
+        result = await copy(turns)
+        return result.stored and await send_predecessors(result, chain_from, copy)
+
+    async def _copy(
+        self, target: ArchiveRecord, turns: list[Turn], disks: tuple[str, ...]
+    ) -> StoreResult:
+        """Send turns to a target, each for as long as it is kept here."""
+        store = self.archive.store
+        kept = [t for t in turns if t.ident in store.turns_by_id]
+        copies = [evolve(t, disks=disks, keep_s=store.remaining_s(t.ident)) for t in kept]
         try:
-            stored = await self.transport.copy(target.address, turns, COPY_TIMEOUT_S)
+            result = await self.transport.copy(target.address, copies, COPY_TIMEOUT_S)
         except (NotSent, OutcomeUnknown) as exc:
             log.info('copy_failed', archive=target.name, turns=len(turns), error=str(exc))
             self._unreachable_since.setdefault(target.name, self.timers.now())
-            return False
-        return stored.stored and stored.disk == target.disk
+            return StoreResult(target.disk, False)
+        return evolve(result, stored=result.stored and result.disk == target.disk)
 
     async def _update_holders(self, idents: list[str], disks: tuple[str, ...]) -> None:
         """Update the disks of turns here and at the other archives that hold copies.
--- a/libs/archive/toucanlead_archive/store.py
+++ b/libs/archive/toucanlead_archive/store.py
@@ -34,18 +34,24 @@
 class HeldTurn:
     """The metadata of a stored turn that is kept in memory.
 
-    `expires_at` is a time of the store's clock; `size` is in bytes, with the row overhead.
+    `expires_at` is a time of the store's clock: the end of the turn's own retention; `size`
+    is in bytes, with the row overhead. `missing` is a predecessor that was not held when it
+    was last looked up, empty if there was none.
     """
 
+    previous: str
     expires_at: float
     size: int
     disks: tuple[str, ...]
+    missing: str = ''
 
 
 @define
 class TurnStore:
     """Stores the turns of one disk in a SQLite file.
 
+    A turn is kept until its own retention has ended and no turn that continues it is held, so
+    that a chain lives as long as its newest turn.
     `disk` is the id of the disk, and `is_new_disk` says whether `open` created that id.
     Retention is measured with a monotonic clock that does not survive a restart, so that
     turns found at a start are kept for their full retention time again.
@@ -60,6 +66,8 @@
     used_bytes: int = 0
     turns_by_id: dict[str, HeldTurn] = field(factory=dict)
     _expiry: list[tuple[float, str]] = field(factory=list)
+    _successors: dict[str, list[str]] = field(factory=dict)  # also of turns that are not held
+    _undeleted: list[str] = field(factory=list)  # dropped turns that are still in the file
     _db: sqlite3.Connection | None = None
 
     def open(self) -> None:
@@ -84,7 +92,7 @@
         not enough space; then no turn is stored.
         """
         turns = list(turns)
-        self.drop_expired()
+        self._expire()
         new_bytes = sum(
             t.size + ROW_OVERHEAD_BYTES for t in turns if t.ident not in self.turns_by_id
         )
@@ -94,13 +102,15 @@
             (t.ident, t.previous, t.input, t.output, t.keep_s, ','.join(t.disks)) for t in turns
         ]
         with self._db:
+            self._delete_dropped()
             self._db.executemany(
                 'insert into turns values (?, ?, ?, ?, ?, ?)'
                 ' on conflict (ident) do update set disks = excluded.disks',
                 rows,
             )
+        self._undeleted.clear()
         for turn in turns:
-            self._track(turn.ident, turn.keep_s, turn.size, turn.disks)
+            self._track(turn.ident, turn.previous, turn.keep_s, turn.size, turn.disks)
 
     def update_disks(self, idents: Iterable[str], disks: tuple[str, ...]) -> int:
         """Update the disks that hold copies of turns; return how many turns are stored here."""
@@ -115,30 +125,76 @@
         return len(known)
 
     def read(self, ident: str) -> Turn | None:
-        """Return a turn with its remaining retention time, or None if it is absent or expired."""
+        """Return a turn with the rest of its own retention time, or None if it is not held.
+
+        The rest is 0 if only turns that continue it keep the turn.
+        """
+        self._expire()
         held = self.turns_by_id.get(ident)
-        if held is None or held.expires_at <= self.clock():
+        if held is None:
             return None
         row = self._db.execute(
             'select previous, input, output from turns where ident = ?', (ident,)
         ).fetchone()
-        keep_s = held.expires_at - self.clock()
+        keep_s = max(0.0, held.expires_at - self.clock())
         return Turn(ident, row[0], row[1], row[2], keep_s, held.disks)
 
+    def remaining_s(self, ident: str) -> float:
+        """Return how long a held turn is kept: until it and all that continues it have expired."""
+        expires_at = 0.0
+        pending = [ident]
+        while pending:
+            current = pending.pop()
+            expires_at = max(expires_at, self.turns_by_id[current].expires_at)
+            pending += self._successors.get(current, ())
+        return max(0.0, expires_at - self.clock())
+
+    def missing_predecessor(self, ident: str) -> str:
+        """Return the nearest predecessor of a turn that is not held, empty if all are held."""
+        held = self.turns_by_id.get(ident)
+        if held is None:
+            return ident
+        while (gap := self.turns_by_id.get(held.missing)) is not None:
+            held.missing = gap.missing
+        return held.missing
+
     def drop_expired(self) -> None:
         """Delete turns whose retention time has ended."""
+        self._expire()
+        if self._undeleted:
+            with self._db:
+                self._delete_dropped()
+            self._undeleted.clear()
+
+    def _expire(self) -> None:
+        """Drop turns that have expired, and their predecessors that only they have kept."""
         now = self.clock()
-        expired = []
         while self._expiry and self._expiry[0][0] <= now:
             _, ident = heapq.heappop(self._expiry)
-            held = self.turns_by_id.get(ident)
-            if held is not None and held.expires_at <= now:
-                del self.turns_by_id[ident]
-                self.used_bytes -= held.size
-                expired.append((ident,))
-        if expired:
-            with self._db:
-                self._db.executemany('delete from turns where ident = ?', expired)
+            while self._has_expired(ident, now):
+                ident = self._drop(ident)
+
+    def _has_expired(self, ident: str, now: float) -> bool:
+        held = self.turns_by_id.get(ident)
+        return held is not None and held.expires_at <= now and ident not in self._successors
+
+    def _drop(self, ident: str) -> str:
+        """Forget a turn; return its predecessor, which may have expired before."""
+        held = self.turns_by_id.pop(ident)
+        self.used_bytes -= held.size
+        self._undeleted.append(ident)
+        successors = self._successors.get(held.previous)
+        if successors is not None:
+            successors.remove(ident)
+            if not successors:
+                del self._successors[held.previous]
+        return held.previous
+
+    def _delete_dropped(self) -> None:
+        """Delete the rows of dropped turns, in the transaction of the caller."""
+        self._db.executemany(
+            'delete from turns where ident = ?', [(ident,) for ident in self._undeleted]
+        )
 
     def _connect(self) -> None:
         self.folder.mkdir(parents=True, exist_ok=True)
@@ -160,21 +216,39 @@
 
     def _load(self) -> None:
         rows = self._db.execute(
-            'select ident, keep_s, length(input) + length(output), disks from turns'
+            'select ident, previous, keep_s, length(input) + length(output), disks from turns'
         )
-        for ident, keep_s, size, disks in rows:
-            self._track(ident, keep_s, size, tuple(disks.split(',')) if disks else ())
+        for ident, previous, keep_s, size, disks in rows:
+            self._track(ident, previous, keep_s, size, tuple(disks.split(',')) if disks else ())
 
-    def _track(self, ident: str, keep_s: float, size: int, disks: tuple[str, ...]) -> None:
+    def _track(
+        self, ident: str, previous: str, keep_s: float, size: int, disks: tuple[str, ...]
+    ) -> None:
         held = self.turns_by_id.get(ident)
         if held is not None:
             held.disks = disks
             return
+        if self._closes_cycle(ident, previous):
+            log.warning('turn_continues_itself', turn=ident, previous=previous)
+            previous = ''
         stored_bytes = size + ROW_OVERHEAD_BYTES
-        held = HeldTurn(self.clock() + keep_s, stored_bytes, disks)
+        held = HeldTurn(previous, self.clock() + keep_s, stored_bytes, disks, previous)
         self.turns_by_id[ident] = held
         self.used_bytes += stored_bytes
         heapq.heappush(self._expiry, (held.expires_at, ident))
+        if previous:
+            self._successors.setdefault(previous, []).append(ident)
+
+    def _closes_cycle(self, ident: str, previous: str) -> bool:
+        """Return whether a new turn continues one of those that continue it.
+
+        That takes callers that use an id again. The turns would keep each other for ever.
+        """
+        if ident not in self._successors:
+            return previous == ident
+        while (held := self.turns_by_id.get(previous)) is not None:
+            previous = held.previous
+        return previous == ident
 
     def _rename_corrupt_files(self) -> None:
         for name in (FILE_NAME, f'{FILE_NAME}-wal', f'{FILE_NAME}-shm'):
--- a/libs/peer/toucanlead_peer/serving_interfaces.py
+++ b/libs/peer/toucanlead_peer/serving_interfaces.py
@@ -36,10 +36,14 @@
 
 @frozen
 class StoreResult:
-    """An archive's response to a write: its disk id, and whether it stored the turns."""
+    """An archive's response to a write: its disk id, and whether it stored the turns.
+
+    `missing` are the ids of the nearest predecessors that the archive does not hold.
+    """
 
     disk: str
     stored: bool
+    missing: tuple[str, ...] = ()
 
 
 @frozen
--- a/libs/peer/toucanlead_peer/serving_transport.py
+++ b/libs/peer/toucanlead_peer/serving_transport.py
@@ -54,7 +54,7 @@
 
         async def rpc(channel: Channel) -> StoreResult:
             reply = await serving_grpc.ArchiveStub(channel).Put(message, timeout=timeout_s)
-            return StoreResult(reply.disk, reply.stored)
+            return StoreResult(reply.disk, reply.stored, tuple(reply.missing))
 
         return await self._channels.call(address, 'archive put', rpc, timeout_s)
 
@@ -76,7 +76,7 @@
 
         async def rpc(channel: Channel) -> StoreResult:
             reply = await serving_grpc.ArchiveStub(channel).Copy(message, timeout=timeout_s)
-            return StoreResult(reply.disk, reply.stored)
+            return StoreResult(reply.disk, reply.stored, tuple(reply.missing))
 
         return await self._channels.call(address, 'archive copy', rpc, timeout_s)
 
@@ -191,7 +191,9 @@
     async def Put(self, stream: Stream) -> None:  # noqa: N802 - generated name
         message = await stream.recv_message()
         stored = await self._handler.put(_turn_from_proto(message.turn))
-        await stream.send_message(serving_pb2.PutReply(stored=stored.stored, disk=stored.disk))
+        await stream.send_message(
+            serving_pb2.PutReply(stored=stored.stored, disk=stored.disk, missing=stored.missing)
+        )
 
     async def Fetch(self, stream: Stream) -> None:  # noqa: N802 - generated name
         message = await stream.recv_message()
@@ -202,7 +204,9 @@
     async def Copy(self, stream: Stream) -> None:  # noqa: N802 - generated name
         message = await stream.recv_message()
         stored = await self._handler.copy([_turn_from_proto(turn) for turn in message.turns])
-        await stream.send_message(serving_pb2.CopyReply(stored=stored.stored, disk=stored.disk))
+        await stream.send_message(
+            serving_pb2.CopyReply(stored=stored.stored, disk=stored.disk, missing=stored.missing)
+        )
 
     async def Amend(self, stream: Stream) -> None:  # noqa: N802 - generated name
         message = await stream.recv_message()
--- a/libs/serving/toucanlead_serving/active_request.py
+++ b/libs/serving/toucanlead_serving/active_request.py
@@ -6,6 +6,7 @@
 
 from toucanlead_core.errors import ExecutionStatus, NotSent
 
+from .archive_client import NO_HISTORY, History
 from .budgets import Reservation
 from .events import StreamEvent
 from .registry import Replica
@@ -35,6 +36,7 @@
     avoid: set[str] = field(factory=set)
     tried: set[str] = field(factory=set)
     origin: StreamOrigin | None = None
+    history: History = NO_HISTORY
     reservation: Reservation | None = None
     events: list[StreamEvent] = field(factory=list)
     events_before_send: int = 0
--- a/libs/serving/toucanlead_serving/archive_client.py
+++ b/libs/serving/toucanlead_serving/archive_client.py
@@ -6,12 +6,19 @@
 import structlog
 from attrs import define, evolve, field, frozen
 
+from toucanlead_archive.chains import batches, send_predecessors
 from toucanlead_archive.directory import ArchiveRecord, PeerDirectory, spread_over_zones
 from toucanlead_core.errors import NotSent, OutcomeUnknown, Reason, Refusal, Step
+from toucanlead_core.recent_ids import RecentIds
 from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import Timers
 from toucanlead_kv.kv import Compare, KeyValueStore, Put
-from toucanlead_peer.serving_interfaces import ArchiveTransport, Turn, TurnChain
+from toucanlead_peer.serving_interfaces import (
+    ArchiveTransport,
+    StoreResult,
+    Turn,
+    TurnChain,
+)
 from toucanlead_peer.serving_transport import turn_from_bytes, turn_to_bytes
 
 log = structlog.get_logger()
@@ -19,7 +26,10 @@
 FALLBACK_PREFIX = 'toucanlead/turns/'
 CACHE_BYTES = 6_000_000  # about a thousand turns of 5 kB
 PUT_TIMEOUT_S = 0.3  # a round trip between regions, a disk sync and one retransmission
+COPY_TIMEOUT_S = 1.0  # of a batch of older turns, to an archive that is new to their chain
 FETCH_TIMEOUT_S = 0.3
+MAX_TXN_PUTS = 32  # of the key-value service
+IN_SERVICE_LIMIT = 10_000  # ids of turns known to be in the key-value service
 ARCHIVE_RETRY_S = 1.0  # pause before an archive that failed is asked again
 HISTORY_RETRY_AFTER_MS = 300
 
@@ -50,6 +60,26 @@
             self.size -= evicted.size
 
 
+@frozen
+class History:
+    """The turns before a new one, newest first; empty for a turn that begins a chain."""
+
+    turns: tuple[Turn, ...] = ()
+
+    @property
+    def text(self) -> bytes:
+        """Return the inputs and outputs of the turns, oldest first."""
+        return b''.join(part for turn in reversed(self.turns) for part in (turn.input, turn.output))
+
+    def up_to(self, ident: str) -> tuple[Turn, ...]:
+        """Return a turn and those before it, empty if it is not among them."""
+        idents = [turn.ident for turn in self.turns]
+        return self.turns[idents.index(ident) :] if ident in idents else ()
+
+
+NO_HISTORY = History()
+
+
 @frozen
 class NoteSearch:
     """The text of a note, None if none was found, and for how long it is kept on.
@@ -91,31 +121,37 @@
         self._failed_at: dict[str, float] = {}
         self._tasks = TaskSet()
         self.cache = TurnCache()
+        self._in_service = RecentIds(IN_SERVICE_LIMIT)
 
-    async def history(self, previous: str, program: str, deadline_at: float) -> bytes:
-        """Return the inputs and outputs of a chain of turns up to `previous`, oldest first.
+    async def history(self, previous: str, program: str, deadline_at: float) -> History:
+        """Return a chain of turns up to `previous`.
 
-        Raise Refusal with UNKNOWN_TURN if a turn does not exist, with HISTORY_UNAVAILABLE
-        if that cannot be determined, and TimeoutError at the deadline (loop time).
+        Raise Refusal with UNKNOWN_TURN if `previous` does not exist, with HISTORY_UNAVAILABLE
+        if that cannot be determined or if a turn before it was not found, and TimeoutError
+        at the deadline (loop time).
         """
         chain: list[Turn] = []
+        seen: set[str] = set()
         ident = previous
         while ident:
+            if ident in seen:
+                raise _history_unavailable(f'{previous} continues itself')
             turn = self.cache.get(ident)
             if turn is None:
                 async with asyncio.timeout_at(deadline_at):
-                    turn = await self._fetch(ident, program)
+                    turn = await self._fetch_of_chain(ident, previous, program)
+            seen.add(ident)
             chain.append(turn)
             ident = turn.previous
-        return b''.join(part for turn in reversed(chain) for part in (turn.input, turn.output))
+        return History(tuple(chain))
 
-    async def store_turn(self, turn: Turn, program: str) -> None:
-        """Make a turn durable; raise NotSent or OutcomeUnknown if that fails."""
+    async def store_turn(self, turn: Turn, program: str, history: History = NO_HISTORY) -> None:
+        """Make a turn and its history durable; raise NotSent or OutcomeUnknown if that fails."""
         started_at = self._timers.now()
-        disks = await self._put_on_disks(turn, self._write_candidates(program))
+        disks = await self._put_on_disks(turn, self._write_candidates(program), history)
         if len(disks) < self.copies:
             log.warning('turn_written_to_key_value_service', turn=turn.ident, copies=len(disks))
-            await self._put_in_service(turn)
+            await self._put_in_service(turn, history)
         self.cache.put(turn)
         log.info(
             'turn_kept',
@@ -203,33 +239,53 @@
                 fetch.cancel()
         return None, unanswered
 
-    async def _put_on_disks(self, turn: Turn, candidates: list[ArchiveRecord]) -> list[str]:
-        """Write copies to archives in parallel, then to spares; return the disks written."""
+    async def _put_on_disks(
+        self, turn: Turn, candidates: list[ArchiveRecord], history: History = NO_HISTORY
+    ) -> list[str]:
+        """Write copies to archives in parallel, then to spares; return the disks written.
+
+        Each of these disks then holds the turns of the history, too.
+        """
         spares = [archive for archive in candidates if self._may_try(archive)]
         chosen, spares = spares[: self.copies], spares[self.copies :]
         planned = tuple(archive.disk for archive in chosen)
-        results = await asyncio.gather(*(self._put(a, turn, planned) for a in chosen))
+        results = await asyncio.gather(*(self._put(a, turn, planned, history) for a in chosen))
         disks = [archive.disk for archive, stored in zip(chosen, results) if stored]
         if len(disks) == len(chosen) == self.copies:
             return disks
         while spares and len(disks) < self.copies:
             archive = spares.pop(0)
-            if await self._put(archive, turn, (*disks, archive.disk)):
+            if await self._put(archive, turn, (*disks, archive.disk), history):
                 disks.append(archive.disk)
-        await self._update_disks(turn, disks)
+        await self._update_disks([turn.ident, *(t.ident for t in history.turns)], disks)
         return disks
 
-    async def _put(self, archive: ArchiveRecord, turn: Turn, disks: tuple[str, ...]) -> bool:
+    async def _put(
+        self,
+        archive: ArchiveRecord,
+        turn: Turn,
+        disks: tuple[str, ...],
+        history: History = NO_HISTORY,
+    ) -> bool:
+        """Write a turn, and what the archive does not hold of its history."""
+
+        async def copy(turns: list[Turn]) -> StoreResult:
+            log.info('history_copied', turn=turn.ident, archive=archive.name, turns=len(turns))
+            copies = [evolve(t, disks=disks) for t in turns]
+            return await self._archives.copy(archive.address, copies, COPY_TIMEOUT_S)
+
         try:
-            stored = await self._archives.put(
+            result = await self._archives.put(
                 archive.address, evolve(turn, disks=disks), PUT_TIMEOUT_S
             )
+            if not result.stored or result.disk != archive.disk:
+                return False
+            return await send_predecessors(result, history.up_to, copy)
         except (NotSent, OutcomeUnknown) as exc:
             self._note_failure(archive, exc)
             return False
-        return stored.stored and stored.disk == archive.disk
 
-    async def _update_disks(self, turn: Turn, disks: list[str]) -> None:
+    async def _update_disks(self, idents: list[str], disks: list[str]) -> None:
         """Tell the archives which disks hold copies; drop disks whose archive does not answer."""
         final = tuple(disks)
         for disk in final:
@@ -237,18 +293,32 @@
             try:
                 if archive is None:
                     raise NotSent('archive not in directory', step='archive amend', peer=disk)
-                await self._archives.update_disks(
-                    archive.address, [turn.ident], final, PUT_TIMEOUT_S
-                )
+                await self._archives.update_disks(archive.address, idents, final, PUT_TIMEOUT_S)
             except (NotSent, OutcomeUnknown) as exc:
                 log.info('archive_amend_failed', disk=disk, error=str(exc))
                 disks.remove(disk)
 
-    async def _put_in_service(self, turn: Turn) -> None:
+    async def _put_in_service(self, turn: Turn, history: History) -> None:
+        """Write a turn, and the turns before it that the service does not hold yet."""
+        written = [t for t in history.turns if t.ident not in self._in_service]
+        for batch in batches(reversed(written), MAX_TXN_PUTS):
+            await self._store.txn([], [_put_op(t) for t in batch])
+            self._in_service.add(*(t.ident for t in batch))
         key = FALLBACK_PREFIX + turn.ident
-        result = await self._store.txn([Compare(key, 0)], [Put(key, turn_to_bytes(turn))])
+        result = await self._store.txn([Compare(key, 0)], [_put_op(turn)])
         if not result.succeeded and not any(e.key == key for e in result.current):
             raise OutcomeUnknown('turn not stored', step='keep', peer='key-value service')
+        self._in_service.add(turn.ident)
+
+    async def _fetch_of_chain(self, ident: str, newest: str, program: str) -> Turn:
+        """Fetch a turn of the chain of `newest`; raise Refusal if it is not found."""
+        try:
+            return await self._fetch(ident, program)
+        except Refusal as refusal:
+            if ident == newest or refusal.reason is not Reason.UNKNOWN_TURN:
+                raise
+            log.error('history_incomplete', turn=newest, missing=ident)
+            raise _history_unavailable(f'{ident}, before {newest}, was not found') from refusal
 
     async def _fetch(self, ident: str, program: str) -> Turn:
         """Fetch a turn from the archives or the key-value service; raise Refusal if not found."""
@@ -312,6 +382,7 @@
         except ValueError as exc:
             raise _history_unavailable(f'{ident}: {exc}') from exc
         self.cache.put(turn)
+        self._in_service.add(ident)
         return turn
 
     def _write_candidates(self, program: str) -> list[ArchiveRecord]:
@@ -339,6 +410,10 @@
         log.info('archive_failed', archive=archive.name, error=str(exc))
 
 
+def _put_op(turn: Turn) -> Put:
+    return Put(FALLBACK_PREFIX + turn.ident, turn_to_bytes(turn))
+
+
 def _history_unavailable(detail: str) -> Refusal:
     return Refusal(
         Reason.HISTORY_UNAVAILABLE,
--- a/libs/serving/toucanlead_serving/archive_process.py
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -77,6 +77,7 @@
             Path(settings.archive.folder),
             int(settings.archive.disk_mb * TURNS_DISK_SHARE * BYTES_PER_MB),
             lambda: random_id(random.SystemRandom()),
+            self._timers.now,
         )
         self.archive = Archive(self._turns)
         self.directory = PeerDirectory()
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -258,8 +258,10 @@
         if not active.route.keeps_history or req.previous_turn is None:
             return req.body
         program = req.program.program if req.program else ''
-        history = await self._archive_client.history(req.previous_turn, program, active.expires_at)
-        return history + req.body
+        active.history = await self._archive_client.history(
+            req.previous_turn, program, active.expires_at
+        )
+        return active.history.text + req.body
 
     async def _reserve(self, active: ActiveRequest) -> None:
         program, generation = active.req.program, active.req.generation
@@ -371,7 +373,7 @@
         output = b''.join(event.data + b'\n' for event in active.events)
         turn = Turn(req.ident, req.previous_turn or '', req.body, output, active.route.retention_s)
         program = req.program.program if req.program else ''
-        await self._archive_client.store_turn(turn, program)
+        await self._archive_client.store_turn(turn, program, active.history)
 
     def _tokens_per_event(self, active: ActiveRequest) -> int:
         """Return how many tokens one stream event counts as."""
