A planned stop answers every request that was read, and ends connections with their answers

Cause: a connection's end was announced only by answers whose head was sent after the SIGTERM, and idle connections were closed once, 2.6 s after it. A connection whose stream had begun before became idle later and stayed open; whatever it brought was served until the process gave up, whether or not it could end by then.

Change: PlannedStop (no I/O) knows the state of each connection and decides: an answer ends its connection unless more requests wait behind it; a connection that becomes idle is closed; a request that may outlast the process is refused at once as not run, with a Retry-After of 50 ms; a connection without a byte gets a second for its first request. The end is a half-close, then reading until the caller closes, so that no reset destroys an answer on its way to a slow reader. At the end of the grace period what still runs is answered 502 or 503 instead of being cut.

--- a/libs/serving/toucanlead_serving/adapter.py
+++ b/libs/serving/toucanlead_serving/adapter.py
@@ -15,6 +15,7 @@
 from toucanlead_peer.serving_interfaces import RelayHandler, RelayTransport
 
 from .forwarder import Forwarder
+from .planned_stop import PlannedStop
 from .registry import Registry
 from .replica_client import ReplicaClient
 from .routes import CurrentRoutes
@@ -52,12 +53,12 @@
         """Open the listening sockets."""
 
     @abc.abstractmethod
-    def start_draining(self) -> None:
-        """Close each connection after its next response, so that callers reconnect elsewhere."""
+    async def stop_accepting(self) -> None:
+        """Close the listening socket for callers; connections stay open."""
 
     @abc.abstractmethod
-    async def close_idle(self) -> None:
-        """Accept no new connections and close idle ones."""
+    def close_unused(self) -> int:
+        """Close the connections that the planned stop no longer needs; return how many are left."""
 
     @abc.abstractmethod
     async def stop(self) -> None:
@@ -103,8 +104,9 @@
         forwarder: Forwarder,
         timers: Timers,
         is_ready: Callable[[], bool],
+        stop: PlannedStop,
     ) -> CallerServer:
-        """Return the server that accepts callers' requests."""
+        """Return the server that accepts callers' requests; `stop` says when it is to end."""
 
     @abc.abstractmethod
     def retirement_keys(self, vm: str) -> RetirementKeys:
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -43,6 +43,7 @@
 from .grants import Grants
 from .metrics import ServingMetrics
 from .metrics_server import MetricsServer, age_of
+from .planned_stop import PlannedStop
 from .rate_keepers import RateKeepers
 from .registry import Registry, Replica
 from .reload import SettingsReload
@@ -57,7 +58,8 @@
 UPKEEP_PERIOD_S = 5.0
 UNREADY_WAIT_S = 2.6  # the platform probes every second and drops an entry after two misses
 STOP_MARGIN_S = 0.6  # before the end of the grace period, to send the last responses
-IN_PROGRESS_CHECK_S = 0.02
+CONNECTIONS_CHECK_S = 0.02
+ABORT_WAIT_S = 0.1  # to send the answers of aborted requests
 
 
 class EntryProcess:
@@ -145,7 +147,9 @@
             self.metrics,
         )
         self.crash_watch = CrashWatch(self._replica_client, self._timers, self.verdicts.report)
+        self.planned_stop = PlannedStop()
         self.forwarder = Forwarder(
+            self.planned_stop,
             self.routes,
             self.dispatch,
             self.archive_client,
@@ -158,7 +162,7 @@
             self.metrics,
         )
         self._caller_server = adapter.caller_server(
-            settings, self.forwarder, self._timers, self.is_ready
+            settings, self.forwarder, self._timers, self.is_ready, self.planned_stop
         )
         self._peer_server = serving_server(
             loans=self.budgets,
@@ -185,13 +189,12 @@
         self._metrics_server = MetricsServer(self.metrics, settings.listen.metrics)
         self._tasks = TaskSet()
         self._timer_handles: list[TimerHandle] = []
-        self._stopping = False
         self._add_gauges([item.name for item in watched])
 
     def is_ready(self) -> bool:
         """Return whether this entry can serve new callers."""
         synced = self.follower.synced.is_set()
-        return not self._stopping and synced and bool(self.registry.replicas)
+        return not self.planned_stop.stopping and synced and bool(self.registry.replicas)
 
     async def start(self) -> None:
         """Open the sockets, watch the key-value service and start the background tasks."""
@@ -260,16 +263,18 @@
         Requests still in progress shortly before the end of the grace period are aborted.
         """
         abort_at = self._timers.now() + self.settings.times.grace_s - STOP_MARGIN_S
-        self._stopping = True
+        self.planned_stop.leave(abort_at)
         self.rate_keepers.stopping = True
         log.info('entry_stopping', in_progress=self.forwarder.in_progress)
-        self._caller_server.start_draining()
         await self._timers.sleep(UNREADY_WAIT_S)
-        await self._caller_server.close_idle()
-        while self.forwarder.in_progress and self._timers.now() < abort_at:
-            await self._timers.sleep(IN_PROGRESS_CHECK_S)
-        if self.forwarder.in_progress:
-            log.warning('requests_aborted', requests=self.forwarder.in_progress)
+        await self._caller_server.stop_accepting()
+        self.planned_stop.close_connections()
+        while (left := self._caller_server.close_unused()) and self._timers.now() < abort_at:
+            await self._timers.sleep(CONNECTIONS_CHECK_S)
+        if left:
+            log.warning('requests_aborted', requests=self.forwarder.in_progress, connections=left)
+            self.forwarder.abort_all()
+            await self._timers.sleep(ABORT_WAIT_S)
         await self.budgets.return_unused_grants()
         await self._caller_server.stop()
         await self._metrics_server.stop()
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -28,6 +28,7 @@
 from .dispatch import Dispatch
 from .events import EventSplitter, StreamEvent
 from .metrics import ServingMetrics
+from .planned_stop import PlannedStop
 from .registry import Replica
 from .replica_client import NotExecuted, ReplicaResponse
 from .request import CallerReq, ReplicaCall, ResponseSink
@@ -40,6 +41,7 @@
 FULL_WAIT_LIMIT_S = 1.0  # how long to look for a replica that accepts a request
 FULL_RETRY_DELAY_S = 0.03
 RETRY_AFTER_MS = 400
+STOPPING_RETRY_AFTER_MS = 50  # other entries serve; a new connection leads to one of them
 MAX_SENDS = 4  # per repeatable request
 MAX_CRASHES = 2  # of replicas under one request, which may be the cause
 MIN_STALL_S = 1.0  # callers abandon a stream after a pause of two seconds
@@ -52,6 +54,7 @@
 
     def __init__(
         self,
+        stop: PlannedStop,
         routes: CurrentRoutes,
         dispatch: Dispatch,
         archive_client: ArchiveClient,
@@ -63,6 +66,7 @@
         timers: Timers,
         metrics: ServingMetrics,
     ) -> None:
+        self._stop = stop
         self._routes = routes
         self._dispatch = dispatch
         self._archive_client = archive_client
@@ -74,6 +78,8 @@
         self._timers = timers
         self._metrics = metrics
         self._shielded_tasks: set[asyncio.Task] = set()
+        self._timeouts: set[asyncio.Timeout] = set()
+        self._aborted = False
         self.in_progress = 0
 
     async def serve(self, req: CallerReq, sink: ResponseSink) -> None:
@@ -90,6 +96,12 @@
         if route is None:
             raise Refusal(Reason.NO_ROUTE, f'{req.host}{req.path}', step=Step.ROUTE)
         expires_at = min(req.deadline_at, req.arrived_at + route.timeout_s)
+        if not self._stop.accepts(expires_at):
+            raise Refusal(
+                Reason.STOPPING,
+                'the request may last longer than this process',
+                retry_after_ms=STOPPING_RETRY_AFTER_MS,
+            )
         self._dispatch.limits.record_request(route.service_for(_split_key(req)))
         active = ActiveRequest(req, route, table, expires_at, req.content_ids())
         self.in_progress += 1
@@ -165,16 +177,36 @@
     async def _forward_in_time(self, active: ActiveRequest, sink: ResponseSink) -> None:
         self._verdicts.check(active.content, active.ran)
         try:
-            async with asyncio.timeout_at(active.expires_at):
-                with self._verdicts.running(active.content):
-                    if active.route.kind is RouteKind.STREAM:
-                        await self._forward_stream(active, sink)
-                    else:
-                        await self._forward_whole(active, sink)
+            async with asyncio.timeout_at(active.expires_at) as timeout:
+                self._timeouts.add(timeout)
+                try:
+                    with self._verdicts.running(active.content):
+                        if active.route.kind is RouteKind.STREAM:
+                            await self._forward_stream(active, sink)
+                        else:
+                            await self._forward_whole(active, sink)
+                finally:
+                    self._timeouts.discard(timeout)
         except TimeoutError:
             raise self._deadline_refusal(active) from None
 
+    def abort_all(self) -> None:
+        """End all requests in progress now; those that no replica may have run are refused."""
+        self._aborted = True
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
+
     def _deadline_refusal(self, active: ActiveRequest) -> Refusal:
+        if self._aborted:
+            return Refusal(
+                Reason.STOPPING,
+                'the process has ended',
+                ran=active.ran,
+                step=Step.ANSWER,
+                retry_after_ms=STOPPING_RETRY_AFTER_MS,
+            )
         return Refusal(
             Reason.DEADLINE,
             f'no answer after {self._timers.now() - active.req.arrived_at:.3f} s',
