One entry that cannot be read, or a task that fails, no longer ends the following of changes

What callers saw: after another writer had put one registration whose port has 5,000 digits, no entry followed the key-value service any more.

Cause: two faults. The decoder of registrations raised an error that nobody expected (int() of a long text), and the task that follows changes ended with it, noticed by nobody but one log line.

Between sinks and followers IsolatingSink leaves out an entry that fails all the same.

--- a/libs/archive/toucanlead_archive/directory.py
+++ b/libs/archive/toucanlead_archive/directory.py
@@ -8,7 +8,7 @@
 import structlog
 from attrs import define, field, frozen
 
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import from_stored_json, to_json
 from toucanlead_core.errors import NotSent, OutcomeUnknown
 from toucanlead_core.ids import rendezvous
 from toucanlead_core.process_settings import ProcessSettings
@@ -144,9 +144,9 @@
     def _put(self, key: str, value: bytes, revision: int) -> None:
         try:
             if key.startswith(_ARCHIVE_PREFIX):
-                self.archives[key] = from_json(value, ArchiveRecord)
+                self.archives[key] = from_stored_json(value, ArchiveRecord)
             elif key.startswith(_ENTRY_PREFIX):
-                self.entries[key] = from_json(value, EntryRecord)
+                self.entries[key] = from_stored_json(value, EntryRecord)
         except ValueError as exc:
             log.warning('peer_record_unreadable', key=key, error=str(exc))
             return
--- a/libs/core/toucanlead_core/process_settings.py
+++ b/libs/core/toucanlead_core/process_settings.py
@@ -146,13 +146,15 @@
         return path.read_text(encoding='utf-8')
     except OSError as exc:
         raise SettingsError(str(path), [exc.strerror or str(exc)]) from None
+    except UnicodeDecodeError as exc:
+        raise SettingsError(str(path), [f'not UTF-8: {exc.reason}']) from None
 
 
 def parse_settings(text: str, source: str, kind: type[T]) -> T:
     """Parse TOML into a settings class; raise SettingsError listing all errors."""
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
+    except (ValueError, RecursionError) as exc:  # numbers of any length, tables of any depth
         raise SettingsError(source, [f'not TOML: {exc}']) from None
     try:
         return structure(raw, kind)
--- a/libs/core/toucanlead_core/sockets.py
+++ b/libs/core/toucanlead_core/sockets.py
@@ -6,6 +6,9 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+MAX_SHOWN_CHARS = 80  # of a malformed address, in an error
 
 
 def set_dead_peer_timeouts(sock: socket.socket, unacked_s: float) -> None:
@@ -24,7 +27,8 @@
 
 def split_address(address: str) -> tuple[str, int]:
     """Split 'host:port' into host and port; raise ValueError if it is malformed."""
-    host, sep, port = address.rpartition(':')
-    if not sep or not host or not port.isdecimal() or not 0 < int(port) <= 65_535:
-        raise ValueError(f'expected host:port, got {address!r}')
+    host, _, port = address.rpartition(':')
+    digits = port.isascii() and port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+    if not host or not digits or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'expected host:port, got {address[:MAX_SHOWN_CHARS]!r}')
     return host, int(port)
--- a/libs/entry/toucanlead_entry/entry.py
+++ b/libs/entry/toucanlead_entry/entry.py
@@ -74,7 +74,7 @@
         intervals = self.ctx.intervals
         self._run_every(intervals.lease_ttl_s / 3, self.slot_manager.renew, 'lease')
         await suppress_outage(self.slot_manager.refresh(), 'first view')
-        self.ctx.tasks.spawn(self.slot_manager.watch_view(), 'view')
+        self.ctx.tasks.keep_running(self.slot_manager.watch_view, 'view')
         self._run_every(intervals.reconcile_s, self.slot_manager.reconcile, 'slots')
         self._run_every(intervals.load_poll_s, self.load_poller.poll, 'load')
         self._run_every(intervals.sweep_s, self.releaser.sweep, 'sweep')
--- a/libs/entry/toucanlead_entry/slots.py
+++ b/libs/entry/toucanlead_entry/slots.py
@@ -3,11 +3,12 @@
 import asyncio
 import math
 from collections.abc import Callable
+from typing import TypeVar
 
 import structlog
 from attrs import define, evolve
 
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import from_json, from_stored_json, to_json
 from toucanlead_core.errors import NotSent, OutcomeUnknown, PeerError
 from toucanlead_core.ids import rendezvous
 from toucanlead_kv.kv import KvEntry, Put, WatchEvent
@@ -32,6 +33,8 @@
 
 log = structlog.get_logger()
 
+T = TypeVar('T')
+
 MAX_TAKEOVER_ENTRIES = 8  # entries that share a dead entry's slots
 CLAIMS_PER_ROUND = 64
 REMOTE_CLAIM_DELAY_S = 10.0  # entries in the replicas' regions claim first
@@ -154,12 +157,14 @@
         entry = event.key.removeprefix(MEMBERS_PREFIX)
         if event.value is None:
             self.view.members.pop(entry, None)
-        else:
-            self.view.members[entry] = from_json(event.value, MemberRecord)
+        elif (record := _readable(event.key, event.value, MemberRecord)) is not None:
+            self.view.members[entry] = record
 
     def _slot_changed(self, event: WatchEvent) -> None:
         if event.value is not None:
-            record = from_json(event.value, SlotRecord)
+            record = _readable(event.key, event.value, SlotRecord)
+            if record is None:
+                return
             known = self.owner_of(record.slot)
             if known is None or record.epoch >= known.epoch:
                 self.view.slots[record.slot] = (record, event.mod_rev)
@@ -199,8 +204,12 @@
         members = await self._ctx.store.scan(MEMBERS_PREFIX)
         self._view_revision = max((e.mod_rev for e in [*slots, *members]), default=0)
         self.view = ClusterView(
-            {m.entry: m for m in (from_json(e.value, MemberRecord) for e in members)},
-            {record.slot: (record, rev) for record, rev in map(_parse_slot, slots)},
+            {m.entry: m for e in members if (m := _readable(e.key, e.value, MemberRecord))},
+            {
+                record.slot: (record, e.mod_rev)
+                for e in slots
+                if (record := _readable(e.key, e.value, SlotRecord))
+            },
             self._ctx.timers.now(),
         )
 
@@ -440,6 +449,15 @@
                 self.owned.discard(slot)
 
 
+def _readable(key: str, value: bytes, kind: type[T]) -> T | None:
+    """Return a record of the view; one that cannot be read must not hide the others."""
+    try:
+        return from_stored_json(value, kind)
+    except ValueError as exc:
+        log.error('record_unreadable', key=key, error=str(exc))
+        return None
+
+
 def _parse_slot(kv_entry: KvEntry) -> tuple[SlotRecord, int]:
     return from_json(kv_entry.value, SlotRecord), kv_entry.mod_rev
 
--- a/libs/kv/toucanlead_kv/watch.py
+++ b/libs/kv/toucanlead_kv/watch.py
@@ -45,6 +45,45 @@
         """Ignore changes."""
 
 
+class IsolatingSink(ChangeSink):
+    """Passes everything on to a sink, but for entries that make it fail.
+
+    A sink reports what it cannot read by itself. This is the last barrier: one entry must
+    never keep the others from being followed.
+    """
+
+    def __init__(self, sink: ChangeSink) -> None:
+        self._sink = sink
+
+    def replace(self, entries: list[KvEntry]) -> None:
+        """Pass a snapshot on."""
+        try:
+            self._sink.replace(entries)
+        except Exception as exc:
+            log.error('snapshot_failed', entries=len(entries), error=repr(exc))
+            readable = [
+                e for e in entries if self._apply_one(WatchEvent(e.key, e.value, e.mod_rev))
+            ]
+            self._sink.replace(readable)
+
+    def apply(self, events: list[WatchEvent]) -> None:
+        """Pass changes on, one by one if they fail together."""
+        try:
+            self._sink.apply(events)
+        except Exception as exc:
+            log.error('changes_failed', changes=len(events), error=repr(exc))
+            for event in events:
+                self._apply_one(event)
+
+    def _apply_one(self, event: WatchEvent) -> bool:
+        try:
+            self._sink.apply([event])
+        except Exception as exc:
+            log.error('change_left_out', key=event.key, revision=event.mod_rev, error=repr(exc))
+            return False
+        return True
+
+
 class TeeSink(ChangeSink):
     """Passes everything on to several sinks."""
 
--- a/libs/serving/toucanlead_serving/archive_process.py
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -92,6 +92,7 @@
         )
         self._retirement_keys: RetirementKeys = adapter.retirement_keys(settings.process.name)
         self._retirement_order = RetirementOrder(self._retirement_keys.order_key)
+        self.metrics = ServingMetrics()
         feed = ChangeFeed(self._timers)
         sinks: dict[str, ChangeSink] = dict.fromkeys(adapter.published_prefixes(), NullSink())
         sinks |= {
@@ -107,13 +108,13 @@
             lambda: self.directory.publishers(self.settings),
             settings.listen.peers,
             feed,
+            self.metrics.task_failed,
         )
         self._peer_server = serving_server(
             archive=self.archive, relay=adapter.relay_handler(), feed=feed
         )
-        self.metrics = ServingMetrics()
         self._metrics_server = MetricsServer(self.metrics, settings.listen.metrics)
-        self._tasks = TaskSet()
+        self._tasks = TaskSet(self.metrics.task_failed)
         self._probes: TimerHandle | None = None
 
     async def start(self) -> None:
@@ -123,10 +124,10 @@
         await self._peer_server.start(host, port)
         self._add_gauges()
         await self._metrics_server.start()
-        self._tasks.spawn(self.follower.run(), 'follow')
+        self._tasks.keep_running(self.follower.run, 'follow')
         self._probes = self._timers.every(PROBE_PERIOD_S, self.follower.probe_if_relayed, 'probe')
-        self._tasks.spawn(self._maintain_copies(), 'copies')
-        self._tasks.spawn(self._retire_when_ordered(), 'retire')
+        self._tasks.keep_running(self._maintain_copies, 'copies')
+        self._tasks.keep_running(self._retire_when_ordered, 'retire')
         log.info(
             'archive_started',
             name=self.settings.process.name,
@@ -196,6 +197,7 @@
             await self._timers.sleep(RETIRE_RETRY_S)
         await self._write_status(self._retirement_keys.done_document, [Delete(retiring_record.key)])
         log.info('retirement_done')
+        await asyncio.Event().wait()  # nothing is left to do
 
     async def _write_status(self, document: bytes, deletes: list[Delete]) -> None:
         while True:
--- a/libs/serving/toucanlead_serving/change_follower.py
+++ b/libs/serving/toucanlead_serving/change_follower.py
@@ -15,9 +15,10 @@
 from attrs import define
 
 from toucanlead_core.errors import NotSent, OutcomeUnknown
+from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import Timers
 from toucanlead_kv.kv import KvEntry, PollingStore, WatchEvent
-from toucanlead_kv.watch import ChangeSink
+from toucanlead_kv.watch import ChangeSink, IsolatingSink
 from toucanlead_peer.serving_interfaces import FeedTransport, FeedUpdate
 
 from .change_feed import HEARTBEAT_S, ChangeFeed
@@ -73,16 +74,21 @@
         publishers: Callable[[], list[str]],
         own_address: str = '',
         feed: ChangeFeed | None = None,
+        on_task_failure: Callable[[str], None] = lambda name: None,
     ) -> None:
-        """`publishers` returns the host:port of each possible publisher, best first."""
+        """`publishers` returns the host:port of each possible publisher, best first.
+
+        `on_task_failure` is called with the name of each background task that fails.
+        """
         self._store = store
         self._feeds = feeds
         self._timers = timers
         self._rng = rng
-        self._sinks = {item.prefix: _TrackedSink(item.sink) for item in watched}
+        self._sinks = {item.prefix: _TrackedSink(IsolatingSink(item.sink)) for item in watched}
         self._publishers = publishers
         self._own_address = own_address
         self._feed = feed
+        self._on_task_failure = on_task_failure
         self._avoided_until: dict[str, float] = {}
         self._direct: DirectWatch | None = None
         self._fallback_at = 0.0
@@ -237,7 +243,13 @@
             watched.append(WatchedSink(prefix, published))
         period_s = PROBE_PERIOD_S if self._feed is None else PUBLISHER_PROBE_PERIOD_S
         self._direct = DirectWatch(
-            self._store, self._timers, self._rng, watched, period_s, self._note_watched
+            self._store,
+            self._timers,
+            self._rng,
+            watched,
+            period_s,
+            self._note_watched,
+            TaskSet(self._on_task_failure),
         )
 
     def _note_watched(self, direct: DirectWatch) -> None:
--- a/libs/serving/toucanlead_serving/crash_verdicts.py
+++ b/libs/serving/toucanlead_serving/crash_verdicts.py
@@ -14,7 +14,7 @@
 from attrs import define, evolve, field
 
 from toucanlead_archive.directory import PEER_PREFIX, EntryRecord
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import from_stored_json, to_json
 from toucanlead_core.crash_messages import BrokenRequest, CrashReport, CrashVerdict
 from toucanlead_core.errors import ExecutionStatus, NotSent, OutcomeUnknown, Reason, Refusal, Step
 from toucanlead_core.ids import rendezvous
@@ -247,7 +247,7 @@
         if not key.startswith(VERDICT_PREFIX):
             return
         try:
-            verdict = from_json(value, CrashVerdict)
+            verdict = from_stored_json(value, CrashVerdict)
         except ValueError as exc:
             log.warning('crash_verdict_unreadable', key=key, error=str(exc))
             return
--- a/libs/serving/toucanlead_serving/debts.py
+++ b/libs/serving/toucanlead_serving/debts.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import from_stored_json, to_json
 
 from .archive_client import ArchiveClient
 
@@ -49,4 +49,4 @@
     async def find(self, program: str) -> Debt | None:
         """Read the program's note from the archives."""
         text = await self._archive_client.get_note(_NOTE_PREFIX + program, program)
-        return None if text is None else from_json(text.encode(), Debt)
+        return None if text is None else from_stored_json(text.encode(), Debt)
--- a/libs/serving/toucanlead_serving/direct_watch.py
+++ b/libs/serving/toucanlead_serving/direct_watch.py
@@ -32,8 +32,12 @@
         watched: list[WatchedSink],
         probe_period_s: float,
         on_synced: Callable[['DirectWatch'], None],
+        tasks: TaskSet,
     ) -> None:
-        """Start watching; `on_synced` is called once every sink has all entries."""
+        """Start watching; `on_synced` is called once every sink has all entries.
+
+        `tasks` are only this watch's own.
+        """
         self._timers = timers
         self._watchers = {
             item.prefix: PrefixWatcher(store, timers, rng, item.prefix, item.sink)
@@ -41,11 +45,11 @@
         }
         self._watchdog = StoreWatchdog(store, timers, watched[0].prefix, probe_period_s)
         self._on_synced = on_synced
-        self._tasks = TaskSet()
+        self._tasks = tasks
         for watcher in self._watchers.values():
             self._watchdog.add_watcher(watcher)
-            self._tasks.spawn(watcher.run(), 'watch')
-        self._tasks.spawn(self._watchdog.run(), 'watchdog')
+            self._tasks.keep_running(watcher.run, 'watch')
+        self._tasks.keep_running(self._watchdog.run, 'watchdog')
         self._tasks.spawn(self._wait_synced(), 'first watch')
 
     @property
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -185,9 +185,10 @@
             rng,
             [WatchedSink(item.prefix, item.sink) for item in watched],
             lambda: self.directory.publishers(self.settings),
+            on_task_failure=self.metrics.task_failed,
         )
         self._metrics_server = MetricsServer(self.metrics, settings.listen.metrics)
-        self._tasks = TaskSet()
+        self._tasks = TaskSet(self.metrics.task_failed)
         self._timer_handles: list[TimerHandle] = []
         self._add_gauges([item.name for item in watched])
 
@@ -200,15 +201,15 @@
         """Open the sockets, watch the key-value service and start the background tasks."""
         host, port = split_address(self.settings.listen.peers)
         await self._peer_server.start(host, port)
-        self._tasks.spawn(self.follower.run(), 'follow')
+        self._tasks.keep_running(self.follower.run, 'follow')
         every = self._timers.every
         self._timer_handles = [
             every(PROBE_PERIOD_S, self.follower.probe_if_relayed, 'probe'),
             every(ASK_PERIOD_S, self.limits.ask_ahead, 'rate tokens'),
             every(VERSIONS_PERIOD_S, self.version_lists.update, 'versions'),
         ]
-        self._tasks.spawn(self.budgets.record_debts(), 'debts')
-        self._tasks.spawn(self._upkeep(), 'upkeep')
+        self._tasks.keep_running(self.budgets.record_debts, 'debts')
+        self._tasks.keep_running(self._upkeep, 'upkeep')
         await self._metrics_server.start()
         await self._caller_server.start()
         log.info('entry_started', name=self.settings.process.name)
--- a/libs/serving/toucanlead_serving/grants.py
+++ b/libs/serving/toucanlead_serving/grants.py
@@ -8,7 +8,7 @@
 import structlog
 from attrs import evolve
 
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import from_stored_json, to_json
 from toucanlead_core.errors import NotSent, OutcomeUnknown
 from toucanlead_core.timers import Timers
 from toucanlead_kv.kv import Compare, KeyValueStore, KvEntry, Put, TxnResult
@@ -186,7 +186,7 @@
 def parse_record(entry: KvEntry) -> BudgetRecord:
     """Decode a record; for an unreadable one return a record with nothing left to grant."""
     try:
-        return from_json(entry.value, BudgetRecord)
+        return from_stored_json(entry.value, BudgetRecord)
     except ValueError as exc:
         log.error('budget_record_unreadable', key=entry.key, error=str(exc))
         return BudgetRecord(0, 1 << 62)
--- a/libs/serving/toucanlead_serving/metrics.py
+++ b/libs/serving/toucanlead_serving/metrics.py
@@ -35,6 +35,12 @@
             ['source'],
             registry=self.registry,
         )
+        self._task_failures = Counter(
+            'toucanlead_task_failures',
+            'Background tasks that failed; those without an end are started again',
+            ['task'],
+            registry=self.registry,
+        )
         self._latency = Histogram(
             'toucanlead_answer_seconds',
             'Time to the whole answer',
@@ -68,6 +74,10 @@
         """Count a stream that a caller resumed at the version that began it."""
         self._resumed.labels(source).inc()
 
+    def task_failed(self, name: str) -> None:
+        """Count a failure of a background task."""
+        self._task_failures.labels(name).inc()
+
     def gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each scrape."""
         Gauge(name, help_text, registry=self.registry).set_function(read)
--- a/libs/serving/toucanlead_serving/reload.py
+++ b/libs/serving/toucanlead_serving/reload.py
@@ -7,6 +7,7 @@
 import structlog
 
 from toucanlead_core.process_settings import ProcessSettings, SettingsError, SettingsFile
+from toucanlead_core.tasks import TaskSet
 
 log = structlog.get_logger()
 
@@ -21,12 +22,13 @@
         self._file = file
         self._apply = apply
         self._requested = asyncio.Event()
+        self._tasks = TaskSet()
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
         """Start; from now on SIGHUP reloads instead of ending the process."""
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._requested.set)
-        self._task = asyncio.ensure_future(self._run())
+        self._task = self._tasks.keep_running(self._run, 'reload')
 
     def stop(self) -> None:
         """Stop reloading; SIGHUP has no effect any more."""
--- a/libs/serving/toucanlead_serving/stream_origins.py
+++ b/libs/serving/toucanlead_serving/stream_origins.py
@@ -14,7 +14,7 @@
 import structlog
 from attrs import define, field, frozen
 
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import from_stored_json, to_json
 from toucanlead_core.errors import Reason, Refusal, Step
 from toucanlead_core.tasks import TaskSet
 from toucanlead_core.timers import Timers
@@ -173,7 +173,7 @@
         if note.text is None:
             return _Search(complete=note.complete)
         try:
-            origin = from_json(note.text.encode(), StreamOrigin)
+            origin = from_stored_json(note.text.encode(), StreamOrigin)
         except ValueError as exc:
             log.warning('stream_origin_unreadable', request=first, error=str(exc))
             return _Search()
--- a/libs/serving/toucanlead_serving/version_lists.py
+++ b/libs/serving/toucanlead_serving/version_lists.py
@@ -11,7 +11,7 @@
 from attrs import define, field, frozen
 
 from toucanlead_archive.directory import PEER_PREFIX, EntryRecord
-from toucanlead_core.codec import from_json, to_json
+from toucanlead_core.codec import from_stored_json, to_json
 from toucanlead_core.errors import NotSent, OutcomeUnknown
 from toucanlead_core.ids import rendezvous
 from toucanlead_core.timers import Timers
@@ -174,7 +174,7 @@
         if revision <= self._service(name).revision:
             return
         try:
-            versions = frozenset(from_json(value, VersionList).versions)
+            versions = frozenset(from_stored_json(value, VersionList).versions)
         except ValueError as exc:
             log.warning('version_list_unreadable', service=name, error=str(exc))
             versions = frozenset({UNKNOWN_VERSION})
