A connection to a replica carries the id of a request once

Cause: a request that all replicas refuse is sent again, also to the replica that refused it first, and the pool gave out the connection that had carried the refusal. A late second copy of that refusal names the same id and arrives before the answer to the second send, so that the id cannot tell them apart.

Change: a connection remembers the last 1,024 ids that it carried, and the pool gives out a connection that has not carried the id. This covers every reason to send again: refusals of a full replica, 421, refusals whose caller has left, an id that a caller uses again. Calls between our processes are HTTP/2, whose streams cannot be confused; the key-value service's answers have no id, and its page names no second copies.

--- a/libs/backends/toucanlead_backends/http_connection.py
+++ b/libs/backends/toucanlead_backends/http_connection.py
@@ -18,6 +18,7 @@
 from multidict import CIMultiDictProxy
 
 from toucanlead_core.errors import NotSent, OutcomeUnknown
+from toucanlead_core.recent_ids import RecentIds
 from toucanlead_core.sockets import set_dead_peer_timeouts, split_address
 
 READ_BUFFER_BYTES = 65_536  # aiohttp's default for response bodies
@@ -25,6 +26,7 @@
 MAX_HEAD_BYTES = 65_536  # received without a complete head; a faulty server may never end it
 MAX_UNREAD_RESPONSES = 8  # more than one only if a server sends responses nobody asked for
 MAX_BODY_BYTES = 4_194_304  # of a body that is read as a whole
+CARRIED_IDS = 1024  # ids of requests that a connection remembers
 UNACKED_TIMEOUT_S = 2.0  # enough to retransmit a lost packet, short enough to notice a dead peer
 
 
@@ -106,6 +108,7 @@
         self.idle_since = loop.time()
         self.keep_alive_s: float | None = None
         self.requests_sent = 0
+        self.carried = RecentIds(CARRIED_IDS)
         self._on_lost = on_lost
         self._responses: deque[HttpResponse] = deque()
         self._current_body: StreamReader | None = None
@@ -285,18 +288,32 @@
         """The number of idle connections."""
         return len(self._idle)
 
-    async def acquire(self, timeout_s: float) -> HttpConnection:
-        """Return a connection for one request; raise NotSent if connecting fails."""
+    async def acquire(self, timeout_s: float, ident: str = '') -> HttpConnection:
+        """Return a connection for one request; raise NotSent if connecting fails.
+
+        With `ident`, the connection has not carried a request with that id: a late second
+        copy of its answer could not be told from the answer to this request.
+        """
+        conn = self._take_idle(ident)
+        if conn is None:
+            conn = await HttpConnection.open(self.address, timeout_s, self._remove)
+            self.opened_count += 1
+            self._open.add(conn)
+        if ident:
+            conn.carried.add(ident)
+        return conn
+
+    def _take_idle(self, ident: str) -> HttpConnection | None:
+        """Take the most recently used idle connection that has not carried an id."""
         now = asyncio.get_running_loop().time()
-        while self._idle:
-            conn = self._idle.pop()
-            if conn.usable and now - conn.idle_since < self._idle_limit_s(conn):
+        for conn in reversed(self._idle[:]):
+            if not conn.usable or now - conn.idle_since >= self._idle_limit_s(conn):
+                self._idle.remove(conn)
+                conn.close()
+            elif ident not in conn.carried:
+                self._idle.remove(conn)
                 return conn
-            conn.close()
-        conn = await HttpConnection.open(self.address, timeout_s, self._remove)
-        self.opened_count += 1
-        self._open.add(conn)
-        return conn
+        return None
 
     def release(self, conn: HttpConnection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
--- a/tests/platform/test_peer_misbehaviour.py
+++ b/tests/platform/test_peer_misbehaviour.py
@@ -67,6 +67,53 @@
         scenario(None)
 
 
+class TestRequestThatIsSentAgain:
+    @pytest.mark.parametrize('method', ['book', 'lookup', 'turn', 'resumable_turn'])
+    def test_a_second_copy_of_its_own_refusal_is_not_taken_for_its_answer(self, method):
+        """Guards against a request that runs twice, or runs after a promise (TWICE, REFUSED)."""
+
+        @with_platform_site()
+        async def scenario(_, site, caller):
+            replies = []
+            for number in range(10):
+                for replica in site.replicas.values():
+                    replica.faults.reject_requests = 1
+                    replica.faults.repeat_refusals = 1
+                    replica.faults.repeated_ident = None
+                caller.program = f'p{number}'
+                replies.append(await getattr(caller, method)(ENTRY_1))
+            for reply in replies:
+                assert reply.status == 200
+                assert len(site.log.runs_of(reply.ident)) == 1
+
+        scenario(None)
+
+    @with_platform_site()
+    async def test_no_connection_carries_an_id_twice(self, site, caller):
+        """Whatever a replica refuses, loses or is replaced by, and whoever left meanwhile."""
+        for number in range(12):
+            for replica in site.replicas.values():
+                replica.faults.reject_requests = 2
+                replica.faults.lose_answers = number % 2
+            caller.program = f'p{number}'
+            calls = (caller.book, caller.lookup, caller.turn, caller.resumable_turn)
+            leave_after_s = 0.03 if number % 3 == 0 else None
+            await asyncio.gather(
+                *(call(ENTRY_1, disconnect_after_s=leave_after_s) for call in calls)
+            )
+            if number % 4 == 3:
+                for replica in app_replicas(site):
+                    replica.release('v1')  # its old id is answered 421 until it is known
+        assert not [ident for replica in site.replicas.values() for ident in replica.repeated_ids]
+
+    @with_platform_site()
+    async def test_an_id_that_a_caller_uses_again_gets_another_connection(self, site, caller):
+        for _ in range(5):
+            reply = await caller.book(ENTRY_1, ident='again')
+            assert reply.body == b'done again'
+        assert not [ident for replica in site.replicas.values() for ident in replica.repeated_ids]
+
+
 class TestPlannedStopUnderLoad:
     @with_platform_site()
     async def test_every_request_that_was_read_is_answered(self, site, caller):
