A replica that says in an answer that it leaves gets nothing new

No code read the header: a replica that had said so got requests until its registration changed, which other operators' machines and our soak see as DRAIN.

Change: the header of any answer (success, error, refusal, head of a stream, also of a resumed one) marks the run of the replica in the registry, the one place that decides who gets new work. The mark outlives registrations that say "ready", or that expire and come back; it ends with the run, so that a successor under the same id or address is used. What waits, or is tried again, chooses a replica anew and so keeps to it.

--- a/libs/serving/toucanlead_serving/dispatch.py
+++ b/libs/serving/toucanlead_serving/dispatch.py
@@ -115,6 +115,8 @@
         try:
             async with self.client.send(replica, call) as response:
                 self.limits.observe(replica, response.rate_limit_per_s)
+                if response.leaving:
+                    self.registry.note_leaving(replica)
                 yield response
             self.placement.record_success(name)
         except NotExecuted as exc:
@@ -122,6 +124,8 @@
                 replica.replaced = True
             else:
                 self.limits.observe(replica, exc.rate_limit_per_s)
+                if exc.leaving:
+                    self.registry.note_leaving(replica)
                 self.placement.record_full(name, self._timers.now())
                 self.limits.record_shortfall(replica.record.service)
             raise
--- a/libs/serving/toucanlead_serving/registry.py
+++ b/libs/serving/toucanlead_serving/registry.py
@@ -3,8 +3,14 @@
 from collections import defaultdict
 from collections.abc import Set
 
+import structlog
 from attrs import define, field, frozen
 
+from toucanlead_core.recent_ids import RecentIds
+
+log = structlog.get_logger()
+
+MAX_LEAVING_RUNS = 10_000  # runs of replicas known to leave, also after their removal
 REMOVAL_GRACE_S = 2.0  # registrations that expire in a key-value outage return within this
 
 
@@ -28,7 +34,11 @@
 
 @define
 class Replica:
-    """One run of a replica, as known to this process; times are loop times in seconds."""
+    """One run of a replica, as known to this process; times are loop times in seconds.
+
+    `leaving_since` follows from its registration. `says_leaving` follows from its own
+    answers, and holds until the run has ended, whatever is registered.
+    """
 
     record: ReplicaRecord
     region: str
@@ -36,6 +46,7 @@
     leaving_since: float | None = None
     removed_at: float | None = None
     replaced: bool = False
+    says_leaving: bool = False
 
     @property
     def ident(self) -> str:
@@ -55,7 +66,7 @@
     @property
     def leaving(self) -> bool:
         """Return whether the replica is draining or another one now uses its address."""
-        return self.leaving_since is not None or self.replaced
+        return self.leaving_since is not None or self.replaced or self.says_leaving
 
 
 @define
@@ -69,6 +80,7 @@
     replicas: dict[str, Replica] = field(factory=dict)
     changed_at: float = 0.0
     changes: int = 0
+    _leaving_runs: RecentIds = field(factory=lambda: RecentIds(MAX_LEAVING_RUNS))
 
     def put(self, record: ReplicaRecord, now: float) -> None:
         """Add or update a replica."""
@@ -77,6 +89,7 @@
         if known is None or not _same_run(known.record, record):
             region = self.regions.get(record.zone, record.zone)
             known = Replica(record, region, now)
+            known.says_leaving = bool(record.started_ms) and known.run in self._leaving_runs
             self.replicas[record.ident] = known
         known.record = record
         known.removed_at = None
@@ -85,6 +98,18 @@
         elif known.leaving_since is None:
             known.leaving_since = now
 
+    def note_leaving(self, replica: Replica) -> None:
+        """Note that a replica said in an answer that it leaves; it gets nothing new.
+
+        That is remembered if the registration of the same run goes and comes again. A run
+        that does not say when it started cannot be told from its successor.
+        """
+        if not replica.says_leaving:
+            replica.says_leaving = True
+            self._leaving_runs.add(replica.run)
+            self.changes += 1
+            log.info('replica_says_leaving', replica=replica.ident, run=replica.run)
+
     def remove(self, ident: str, now: float) -> None:
         """Mark a replica as removed; it is dropped after a grace period."""
         known = self.replicas.get(ident)
--- a/libs/serving/toucanlead_serving/replica_client.py
+++ b/libs/serving/toucanlead_serving/replica_client.py
@@ -13,8 +13,8 @@
 class NotExecuted(PeerError):
     """Raised when a replica reports that it did not run the request.
 
-    `wrong_replica` means that another replica answered at the address, `rate_limit_per_s`
-    is as in ReplicaResponse.
+    `wrong_replica` means that another replica answered at the address; `rate_limit_per_s`
+    and `leaving` are as in ReplicaResponse.
     """
 
     def __init__(
@@ -24,8 +24,10 @@
         peer: str,
         wrong_replica: bool = False,
         rate_limit_per_s: float | None = None,
+        leaving: bool = False,
     ) -> None:
         super().__init__(detail, step='send', peer=peer)
+        self.leaving = leaving
         self.wrong_replica = wrong_replica
         self.rate_limit_per_s = rate_limit_per_s
 
@@ -46,6 +48,11 @@
         None means that it names no limit.
         """
 
+    @property
+    @abc.abstractmethod
+    def leaving(self) -> bool:
+        """Return whether the replica says that it will end, and is to get nothing new."""
+
     @abc.abstractmethod
     def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise OutcomeUnknown if it ends early."""
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -53,7 +53,8 @@
     """One program on one address, started again under the same name whenever it ended.
 
     `disturbed` has the loop times between which the process was killed, paused or away;
-    what it was asked then may go unanswered. Whoever sends it signals holds `signals`.
+    what it was asked then may go unanswered. `stopped` has the times of planned stops. Whoever
+    sends it signals holds `signals`.
     """
 
     vm: Vm
@@ -66,6 +67,7 @@
     starts_before: int = 0
     disturbed: list[tuple[float, float]] = field(factory=list)
     bad_exits: list[int] = field(factory=list)
+    stopped: list[float] = field(factory=list)
     signals: asyncio.Lock = field(factory=asyncio.Lock)
 
     async def start(self) -> None:
@@ -118,6 +120,7 @@
         """Stop the process as planned, with more signals meanwhile, and start it again."""
         while not self.has_started():
             await asyncio.sleep(0.1)
+        self.stopped.append(asyncio.get_running_loop().time())
         self.send(signal.SIGTERM)
         for signum in rng.choices((signal.SIGHUP, signal.SIGTERM), k=rng.randrange(3)):
             await asyncio.sleep(rng.random())
@@ -156,6 +159,16 @@
         """Return whether the process was killed or paused between two loop times."""
         return any(first <= end and begin <= last for first, last in self.disturbed)
 
+    def ran_through(self, begin: float, end: float) -> bool:
+        """Return whether one run of the process lasted between two loop times, undisturbed."""
+        stopped = any(begin <= at <= end for at in self.stopped)
+        return not stopped and not self.was_disturbed(begin, end)
+
+    def log_lines(self, event: str) -> list[str]:
+        """Return the log lines of an event."""
+        lines = (self.folder / f'{self.vm.name}.log').read_text().splitlines()
+        return [line for line in lines if f'event={event} ' in line]
+
     async def _exit_code(self) -> list[int]:
         """Return the exit code as a list if it is not 0, or if the process does not end."""
         try:
