A request runs on no more replicas than its route allows because they are full

Change: a replica that refuses stays the one to send to; only one that left the registry, runs under another id, is down, or could not be reached twice is gone.

Evidence: tests/platform/test_replica_faults.py, TestAttemptsOfOneRequest[lookup]: three replicas where two are allowed, before; two now.

--- a/libs/serving/toucanlead_serving/active_request.py
+++ b/libs/serving/toucanlead_serving/active_request.py
@@ -1,5 +1,7 @@
 """State of one request in progress."""
 
+from collections import Counter
+from collections.abc import Set
 from contextlib import contextmanager
 
 from attrs import define, field
@@ -15,6 +17,8 @@
 from .routes import Route, RouteTable
 from .stream_origins import StreamOrigin
 
+GONE_AFTER = 2  # failures to reach a replica; one alone may be a lost packet
+
 
 @define(eq=False)
 class ActiveRequest:
@@ -22,7 +26,7 @@
 
     `origin` is where its stream began, None while the caller holds no event. `avoid` holds
     the ids of replicas that did not accept the request, `tried` those of replicas that may
-    have run it.
+    have run it. `unreached` counts how often each replica could not be reached.
     """
 
     req: CallerReq
@@ -35,6 +39,7 @@
     may_have_run: bool = False
     avoid: set[str] = field(factory=set)
     tried: set[str] = field(factory=set)
+    unreached: Counter[str] = field(factory=Counter)
     origin: StreamOrigin | None = None
     history: History = NO_HISTORY
     reservation: Reservation | None = None
@@ -50,6 +55,10 @@
         """Return whether the request may have run, for a refusal without a response."""
         return ExecutionStatus.UNKNOWN if self.may_have_run else ExecutionStatus.NOT_RUN
 
+    def gone(self) -> Set[str]:
+        """Return the replicas that seem to have ended, or to be cut off from this entry."""
+        return {name for name, count in self.unreached.items() if count >= GONE_AFTER}
+
     @contextmanager
     def record_attempt(self, replica: Replica):
         """Record an attempt; undo it if the replica certainly did not run the request.
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -20,7 +20,7 @@
 from toucanlead_peer.serving_interfaces import Turn
 from toucanlead_policy.limit_queue import QUEUE_S
 
-from .active_request import ActiveRequest
+from .active_request import GONE_AFTER, ActiveRequest
 from .archive_client import ArchiveClient
 from .budgets import Budgets
 from .crash_verdicts import CrashVerdicts
@@ -493,7 +493,14 @@
             replica = self._dispatch.choose_replica(service, active.req, active.avoid, only)
         if replica is not None or self._dispatch.is_limit_reached(service, only, versions):
             return replica
-        if only is not None:  # all tried replicas are gone or avoided
+        if only is not None:
+            left = {r.ident for r in self._dispatch.usable(service, only, versions)}
+            left -= active.gone()
+            if left:  # they are full; that is no reason to run the request on more replicas
+                active.avoid -= left
+                return self._dispatch.choose_replica(
+                    service, active.req, active.avoid, left, versions
+                )
             active.tried.clear()
             replica = self._dispatch.choose_replica(
                 service, active.req, active.avoid, None, versions
@@ -516,6 +523,8 @@
             reason = RetryReason.WRONG_REPLICA if wrong else RetryReason.REPLICA_BUSY
         self._metrics.retried(reason)
         active.avoid.add(replica.ident)
+        if reason is not RetryReason.REPLICA_BUSY:
+            active.unreached[replica.ident] += GONE_AFTER if wrong else 1
         log.info(
             'not_taken',
             request=active.req.ident,
@@ -543,8 +552,10 @@
         """
         produced = len(active.events) > active.events_before_send
         self._crash_watch.record_break(active.replica, active.content, produced)
-        if active.route.repeatable and not produced:
-            active.crashes += await self._dispatch.client.is_down(active.replica)
+        may_be_down = active.route.repeatable and not produced
+        if may_be_down and await self._dispatch.client.is_down(active.replica):
+            active.crashes += 1
+            active.unreached[active.replica.ident] += GONE_AFTER
         may_resend = active.sends < MAX_SENDS and active.crashes < MAX_CRASHES
         if active.route.repeatable and may_resend:
             log.info(
--- a/tests/platform/test_replica_faults.py
+++ b/tests/platform/test_replica_faults.py
@@ -155,3 +155,57 @@
         for replica in app_replicas(site):
             replica.faults.respond_before_body = False
         assert (await caller.book(ENTRY_1)).succeeded
+
+
+class TestAttemptsOfOneRequest:
+    def most_replicas(self, site, replies):
+        """Return the most replicas on which one request ran."""
+        return max(len({run.replica for run in site.log.runs_of(r.ident)}) for r in replies)
+
+    async def refuse_after_runs(self, site, replicas, refusals):
+        """Have each replica that has run a request refuse the next ones, as a full one does."""
+        while True:
+            for replica in replicas:
+                if replica.faults.lose_answers == 0 and site.log.runs:
+                    ran = {run.replica for run in site.log.runs}
+                    if replica.ident in ran and replica.ident not in refusals:
+                        refusals.add(replica.ident)
+                        replica.faults.reject_requests = 3
+            await asyncio.sleep(0.001)
+
+    @pytest.mark.parametrize('kind', ['lookup', 'resumable_turn'])
+    def test_a_full_replica_is_no_reason_to_run_on_more_of_them(self, kind):
+        """Guards against repeats beyond a route's attempts when its replicas are full (BUDGET)."""
+
+        @with_platform_site()
+        async def scenario(_, site, caller):
+            replicas = engine_replicas(site) if kind == 'resumable_turn' else app_replicas(site)
+            replies = []
+            for number in range(8):
+                refusals = set()
+                site.log.runs.clear()
+                for replica in replicas:
+                    replica.faults.lose_answers = 1
+                    replica.faults.break_after_events = 2
+                refusing = asyncio.ensure_future(self.refuse_after_runs(site, replicas, refusals))
+                caller.program = f'p{number}'
+                replies.append(await getattr(caller, kind)(ENTRY_1))
+                refusing.cancel()
+                allowed = 2 if kind == 'lookup' else 1
+                assert self.most_replicas(site, replies[-1:]) <= allowed
+            assert sum(reply.succeeded for reply in replies) >= 4
+
+        scenario(None)
+
+    @with_platform_site()
+    async def test_a_replica_that_is_gone_is_replaced_by_another(self, site, caller):
+        for replica in app_replicas(site):
+            replica.faults.never_respond = True
+        sent = asyncio.ensure_future(caller.lookup(ENTRY_1))
+        await site.wait_until(lambda: site.log.runs)
+        first = site.replicas[site.log.runs[0].replica]
+        for replica in app_replicas(site):
+            replica.faults.never_respond = False
+        site.stop_replica(first)
+        reply = await sent
+        assert reply.succeeded
