A stream is taken up by what the version list says now, not by what this entry last heard

Reported by another operator: during a release one machine was cut off or stood still for some seconds; a stream that had begun at a new version through another machine broke, was taken up there and went on at the old version (ORDER). It could happen here for up to two seconds: an entry that does not know yet that it misses changes took the one version that it knew for the version of every stream.

Change: before that conclusion the entry reads the durable list of the service, which names a version before streams begin there. Without an answer in 0.25 s it looks for the stream's own note, and else refuses as not run, with a Retry-After. One read for each stream that is taken up elsewhere while one version is alone.

--- a/libs/serving/toucanlead_serving/stream_origins.py
+++ b/libs/serving/toucanlead_serving/stream_origins.py
@@ -161,7 +161,8 @@
         if begun is not None:
             return _Search(begun.origin, OriginSource.MEMORY, self._timers.now() - begun.at)
         version = self._lists.only_version(service)
-        if version is not None:
+        confirmed = version is not None and await self._lists.confirm_only(service, version)
+        if confirmed:
             return _Search(StreamOrigin(service, version, ''), OriginSource.ONLY_VERSION)
         if not first:
             return _Search()
@@ -171,7 +172,7 @@
         except TimeoutError:
             return _Search(complete=False)
         if note.text is None:
-            return _Search(complete=note.complete)
+            return _Search(complete=note.complete and version is None)
         try:
             origin = from_stored_json(note.text.encode(), StreamOrigin)
         except ValueError as exc:
--- a/libs/serving/toucanlead_serving/version_lists.py
+++ b/libs/serving/toucanlead_serving/version_lists.py
@@ -5,6 +5,7 @@
 entry of an order that all entries share writes it; the others follow if it does not.
 """
 
+import asyncio
 from collections.abc import Callable
 
 import structlog
@@ -25,6 +26,7 @@
 
 LIST_PREFIX = PEER_PREFIX + 'versions/'
 UPKEEP_PERIOD_S = 0.1  # a new replica gets few new streams until its version is listed
+CONFIRM_TIMEOUT_S = 0.25  # a round trip between regions and one retransmission
 NEXT_WRITER_AFTER_S = 1.0  # each entry of the order waits longer than the one before
 
 
@@ -68,6 +70,24 @@
         """Return the version that began every stream of a service, None if that is unclear."""
         return self._current(service).versions.only_version
 
+    async def confirm_only(self, service: str, version: str) -> bool:
+        """Return whether the durable list names one version alone at this moment.
+
+        What this entry follows may be older than a stream that another entry began, for as
+        long as it does not notice that it is cut off or has stood still.
+        """
+        key = LIST_PREFIX + service
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                entry = await self._store.get(key)
+        except (NotSent, OutcomeUnknown, TimeoutError) as exc:
+            log.info('versions_unconfirmed', service=service, error=repr(exc))
+            return False
+        if entry is not None:
+            self._learn(key, entry.value, entry.mod_rev)
+        listed = entry is not None and self.listed(service) == {version}
+        return listed and self.only_version(service) == version
+
     def to_prefer(self, service: str) -> frozenset[str] | None:
         """Return the versions at which new streams should begin, None for all."""
         return self._current(service).versions.to_prefer()
--- a/tests/platform/test_stream_versions.py
+++ b/tests/platform/test_stream_versions.py
@@ -377,3 +377,57 @@
             assert (await caller.resume(ENTRY_2, first, first)).status in (500, 502)
 
         scenario(None)
+
+
+class TestEntryOutOfStep:
+    """Another operator's report: a release reached one entry later than the others."""
+
+    def out_of_step(self, site, how):
+        """Cut an entry off from all but replicas and callers, or have it stand still."""
+        if how == 'paused':
+            site.network.pause(ENTRY_2.ip)
+            return
+        others = [vm.ip for vm in (ENTRY_1, ENTRY_3, *ARCHIVES)]
+        for host in (SERVICE_HOST, *others):
+            site.network.cut(ENTRY_2.ip, host)
+
+    @pytest.mark.parametrize('how', ['cut off', 'paused'])
+    @pytest.mark.parametrize('cut_s', [0.05, 0.5, 1.0])
+    def test_a_stream_of_a_new_version_does_not_go_on_there_at_the_old_one(self, how, cut_s):
+        """Guards against a stream taken up by what an entry knew before a release (ORDER)."""
+
+        @with_platform_site()
+        async def scenario(_, site, caller):
+            caller.budget = None
+            make_streams_long(site)
+            old = engine_replicas(site)
+            self.out_of_step(site, how)
+            await asyncio.sleep(cut_s)
+            new = await site.add_replica('i-new', ENGINES, 'centro-a', 'v2')
+            new.events = STREAM_EVENTS
+            await asyncio.sleep(0.5)
+            for replica in old:
+                replica.faults.reject_requests = 50
+            streaming = asyncio.ensure_future(caller.resumable_turn(ENTRY_1))
+            await asyncio.sleep(BEGIN_S)
+            site.network.kill(ENTRY_1.ip)
+            first = await streaming
+            assert first.versions == {'v2'}
+            assert first.status == 0
+            for replica in old:
+                replica.faults.reject_requests = 0
+            resuming = asyncio.ensure_future(caller.resume(ENTRY_2, first, first))
+            if how == 'paused':
+                await asyncio.sleep(0.2)
+                site.network.resume(ENTRY_2.ip)
+            second = await resuming
+            assert not joined(first, second)
+            assert second.status in (0, 200, 503)
+
+        scenario(None)
+
+    @with_platform_site()
+    async def test_an_entry_in_step_takes_it_up(self, site, caller):
+        replies = await break_streams(site, caller)
+        resumed = await resume_all(caller, replies)
+        assert all(reply.succeeded for reply in resumed)
