--- a/tests/platform/test_budgets.py
+++ b/tests/platform/test_budgets.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -97,6 +98,42 @@
         assert generated_tokens(site, 'p1') <= 870
 
 
+class TestOtherRegions:
+    @pytest.mark.parametrize('away', ['stopped', 'killed', 'cut off', 'running'])
+    def test_a_budget_that_another_region_has_spent_is_not_granted_again(self, away):
+        """Guards against a second grant by a region that asked only its own entries (BUDGET)."""
+
+        @with_platform_site()
+        async def scenario(_, site, caller):
+            caller.budget = 2320
+            statuses = []
+            while 402 not in statuses:
+                statuses.append((await caller.turn(ENTRY_3)).status)
+            assert generated_tokens(site, 'p1') <= 2320
+            if away == 'stopped':
+                await site.entries[ENTRY_3.name].stop()
+            elif away == 'killed':
+                site.network.kill(ENTRY_3.ip)
+            elif away == 'cut off':
+                for vm in (ENTRY_1, ENTRY_2):
+                    site.network.cut(ENTRY_3.ip, vm.ip)
+            site.service.faults.down = True
+            await asyncio.sleep(1.5)
+            for vm in (ENTRY_1, ENTRY_2) * 12:
+                await caller.turn(vm)
+            assert generated_tokens(site, 'p1') <= 2320 + 290
+
+        scenario(None)
+
+    @with_platform_site()
+    async def test_a_new_program_still_gets_a_regular_grant(self, site, caller):
+        caller.budget = 2800
+        site.service.faults.down = True
+        await asyncio.sleep(1.5)
+        replies = [await caller.turn(vm) for vm in (ENTRY_1, ENTRY_2) * 3]
+        assert [reply.status for reply in replies] == [200] * 6
+
+
 class TestWithoutService:
     @with_platform_site()
     async def test_new_programs_are_served_while_the_service_is_away(self, site, caller):
@@ -365,6 +402,7 @@
 
 
 ADDRESSES = tuple(f'10.0.0.{number}:1' for number in range(1, 7))
+REGIONS = (ADDRESSES[:2], ADDRESSES[2:])
 ENTRY_NUMBERS = st.integers(0, len(ADDRESSES) - 1)
 
 
@@ -398,7 +436,8 @@
                 FakePeers(self, address),
                 EventLoopTimers(),
                 address,
-                lambda: list(ADDRESSES),
+                lambda: next(list(region) for region in REGIONS if address in region),
+                lambda: [list(region) for region in REGIONS if address not in region],
                 None if fresh else asyncio.get_running_loop().time(),
             )
 
