A turn of at most 0 output tokens no longer holds an entry up

Cause: Budgets.reserve took a reservation of 0 tokens for "none to be had" and searched on, without a step that suspends.

Change: a turn without tokens reserves nothing and needs no grant.

Evidence: tests/platform/test_budgets.py TestTurnWithoutTokens, which does not end on the code before.

--- a/libs/serving/toucanlead_serving/budgets.py
+++ b/libs/serving/toucanlead_serving/budgets.py
@@ -156,6 +156,8 @@
         allowance = state.allowance
         allowance.last_used_at = self._timers.now()
         deadline_at = min(deadline_at, allowance.last_used_at + RESERVE_WAIT_S)
+        if not tokens:
+            return Reservation(allowance, 0)
         while not (amount := allowance.reserve(tokens, expected)):
             async with state.lock:
                 if allowance.available < tokens:
--- a/tests/platform/test_budgets.py
+++ b/tests/platform/test_budgets.py
@@ -98,6 +98,18 @@
         assert generated_tokens(site, 'p1') <= 870
 
 
+class TestTurnWithoutTokens:
+    @with_platform_site()
+    async def test_a_turn_of_at_most_no_tokens_holds_nobody_up(self, site, caller):
+        """Guards against an entry that searches for no tokens for ever, without a pause."""
+        for budget in (870, 0):
+            caller.budget = budget
+            reply = await caller.turn(ENTRY_1, limit=0)
+            assert reply.status in (402, 502)
+        caller.budget = 870
+        assert (await caller.book(ENTRY_1)).succeeded
+
+
 class TestOtherRegions:
     @pytest.mark.parametrize('away', ['stopped', 'killed', 'cut off', 'running'])
     def test_a_budget_that_another_region_has_spent_is_not_granted_again(self, away):
