A turn is denied only after every archive that the service lists was asked

Cause: "every archive that I know" was every archive of a directory that was out of date without this entry's knowing.

Change: before a 404 the entry reads the archives' records from the service and asks those that it did not know; without an answer, 503. One read for each turn that would be denied.

--- a/libs/archive/toucanlead_archive/directory.py
+++ b/libs/archive/toucanlead_archive/directory.py
@@ -18,7 +18,7 @@
 log = structlog.get_logger()
 
 PEER_PREFIX = 'toucanlead/peers/'
-_ARCHIVE_PREFIX = PEER_PREFIX + 'archives/'
+ARCHIVE_PREFIX = PEER_PREFIX + 'archives/'
 _ENTRY_PREFIX = PEER_PREFIX + 'entries/'
 
 
@@ -36,7 +36,7 @@
     @property
     def key(self) -> str:
         """Return the record's key."""
-        return _ARCHIVE_PREFIX + self.name
+        return ARCHIVE_PREFIX + self.name
 
 
 @frozen
@@ -86,6 +86,11 @@
                 self._put(event.key, event.value, event.mod_rev)
         self.version += bool(events)
 
+    def learn(self, entries: list[KvEntry]) -> None:
+        """Apply entries that were read apart from the watch, as far as they are newer."""
+        newer = [e for e in entries if e.mod_rev > self.revisions.get(e.key, 0)]
+        self.apply([WatchEvent(entry.key, entry.value, entry.mod_rev) for entry in newer])
+
     def record(self, key: str) -> ArchiveRecord | EntryRecord | None:
         """Return the record at a key, or None."""
         return self.archives.get(key) or self.entries.get(key)
@@ -143,7 +148,7 @@
 
     def _put(self, key: str, value: bytes, revision: int) -> None:
         try:
-            if key.startswith(_ARCHIVE_PREFIX):
+            if key.startswith(ARCHIVE_PREFIX):
                 self.archives[key] = from_stored_json(value, ArchiveRecord)
             elif key.startswith(_ENTRY_PREFIX):
                 self.entries[key] = from_stored_json(value, EntryRecord)
@@ -173,7 +178,7 @@
         directory.apply([WatchEvent(record.key, value, result.revision)])
         log.info('registered', key=record.key, revision=result.revision)
     else:
-        directory.apply([WatchEvent(e.key, e.value, e.mod_rev) for e in result.current])
+        directory.learn(result.current)
     return result.succeeded
 
 
--- a/libs/serving/toucanlead_serving/archive_client.py
+++ b/libs/serving/toucanlead_serving/archive_client.py
@@ -7,7 +7,12 @@
 from attrs import define, evolve, field, frozen
 
 from toucanlead_archive.chains import batches, send_predecessors
-from toucanlead_archive.directory import ArchiveRecord, PeerDirectory, spread_over_zones
+from toucanlead_archive.directory import (
+    ARCHIVE_PREFIX,
+    ArchiveRecord,
+    PeerDirectory,
+    spread_over_zones,
+)
 from toucanlead_core.errors import NotSent, OutcomeUnknown, Reason, Refusal, Step
 from toucanlead_core.recent_ids import RecentIds
 from toucanlead_core.tasks import TaskSet
@@ -325,6 +330,8 @@
         turn, asked, unanswered = await self._ask_archives(ident, program)
         if turn is None:
             turn = await self._fetch_from_service(ident)
+        if turn is None and not unanswered:
+            turn, unanswered = await self._ask_unknown_archives(ident, asked)
         if turn is not None:
             return turn
         all_asked = bool(asked) and self._directory.disks() <= {a.disk for a in asked}
@@ -344,9 +351,37 @@
         self, ident: str, program: str
     ) -> tuple[Turn | None, list[ArchiveRecord], int]:
         """Return the turn if found, all candidate archives, and how many did not answer."""
-        unanswered = 0
         asked = self._read_candidates(program)
-        for archive in asked:
+        turn, unanswered = await self._ask_in_turn(ident, asked)
+        return turn, asked, unanswered
+
+    async def _ask_unknown_archives(
+        self, ident: str, asked: list[ArchiveRecord]
+    ) -> tuple[Turn | None, int]:
+        """Ask the archives that have joined unnoticed; add them to those asked.
+
+        The directory may be out of date, as long as this entry does not notice that it misses
+        changes. Raise Refusal if the key-value service cannot tell.
+        """
+        try:
+            entries = await self._store.scan(ARCHIVE_PREFIX)
+        except (NotSent, OutcomeUnknown) as exc:
+            raise _history_unavailable(f'{ident}: {exc}') from exc
+        self._directory.learn(entries)
+        known = {archive.disk for archive in asked}
+        listed = [self._directory.archives.get(entry.key) for entry in entries]
+        joined = [a for a in listed if a is not None and a.disk not in known]
+        if joined:
+            log.info('archives_joined_unnoticed', turn=ident, archives=len(joined))
+        asked += joined
+        return await self._ask_in_turn(ident, joined)
+
+    async def _ask_in_turn(
+        self, ident: str, archives: list[ArchiveRecord]
+    ) -> tuple[Turn | None, int]:
+        """Ask archives until one has a turn; return it and how many did not answer."""
+        unanswered = 0
+        for archive in archives:
             chain = await self._fetch_from(archive, ident)
             if chain is None:
                 unanswered += 1
@@ -357,8 +392,8 @@
                 log.info(
                     'history_fetched', turn=ident, archive=archive.name, turns=len(chain.turns)
                 )
-                return chain.turns[0], asked, unanswered
-        return None, asked, unanswered
+                return chain.turns[0], unanswered
+        return None, unanswered
 
     async def _fetch_from(self, archive: ArchiveRecord, ident: str) -> TurnChain | None:
         """Return what an archive holds of a chain of turns, None if it does not answer."""
