A stop of the native daemon answers calls whose body is still coming

A call that was being read when the daemon stopped waited for 30 s and was then cut.

Change: before its connections are closed the daemon closes its listening sockets, announces the end of the connection in each response, and waits until the requests that have begun are answered, 30 s at most.

Evidence: tests/test_stops.py TestConnectionsOfAStop; the call whose body came later got no answer within 10 s before. The OpenAI-compatible API is served by the same application.

--- a/libs/entry/toucanlead_entry/daemon.py
+++ b/libs/entry/toucanlead_entry/daemon.py
@@ -23,6 +23,7 @@
 from .admin_api import AdminApi
 from .auth import ApiKeyAuth
 from .config_api import ConfigApi
+from .connection_drain import ConnectionDrain
 from .context import Backends, Context, Identity, Intervals, ToolSpec
 from .entry import Entry
 from .http_api import CallerApi, create_app
@@ -58,6 +59,7 @@
         self._session: aiohttp.ClientSession | None = None
         self._transport = GrpcTransport(resolve)
         self._peer_server = None
+        self._drain = ConnectionDrain(LoopTimers(self._rng))
         self.entry: Entry | None = None
         self.port = 0
         self.admin_port = 0
@@ -78,6 +80,7 @@
         callers_app = create_app(self.settings.limits)
         CallerApi(self.entry, keys).add_routes(callers_app)
         ChatApi(self.entry, keys).add_routes(callers_app)
+        self._drain.watch(callers_app)
         admin_app = create_app(self.settings.limits)
         AdminApi(self.entry, keys).add_routes(admin_app)
         ConfigApi(self.entry, keys).add_routes(admin_app)
@@ -90,6 +93,7 @@
         """Hand the slots over, finish all requests, then close the sockets."""
         if self.entry is not None:
             await self.entry.stop()
+        await asyncio.gather(*(self._drain.drain(runner) for runner in self._runners))
         for runner in self._runners:
             await runner.cleanup()
         if self._peer_server is not None:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -21,7 +21,7 @@
 from toucanlead_trials.virtual_site import SLOTS, VirtualEntryClient, VirtualSite
 from toucanlead_trials.workload import FLAMAVIVA, make_programs
 
-from .utils.site import FULL_PLAN, ONE_REGION_PLAN, EntryPlace, with_site
+from .utils.site import FULL_PLAN, ONE_REGION_PLAN, TEAM, EntryPlace, with_site
 
 # Long periods, so that an hour of virtual time takes few steps.
 SLOW_INTERVALS = Intervals(
@@ -100,6 +100,61 @@
         assert report.retries == 0
 
 
+class TestConnectionsOfAStop:
+    """The native API's connections, each in another state when the daemon stops."""
+
+    def head(self, program, body):
+        return (
+            f'POST /v1/programs/{program}/calls HTTP/1.1\r\nHost: h\r\n'
+            f'Authorization: Bearer {team_key(TEAM)}\r\nContent-Length: {len(body)}\r\n\r\n'
+        ).encode()
+
+    def body(self, program, seq, tokens):
+        message = {'role': 'user', 'content': f'#{program}/{seq}~{tokens} yellow'}
+        call = {'seq': seq, 'kind': 'model', 'messages': [message], 'max_tokens': 400}
+        return json.dumps(call).encode()
+
+    async def read_answers(self, reader, seconds):
+        """Return the status of each answer until the connection ends."""
+        received = b''
+        async with asyncio.timeout(seconds):
+            while data := await reader.read(65_536):
+                received += data
+        return [int(part[:3]) for part in received.split(b'HTTP/1.1 ')[1:]]
+
+    @with_site()
+    async def test_an_idle_connection_is_closed_and_a_running_call_answered(self, caller):
+        program = await caller.open(budget=100_000)
+        first = caller.site.daemons[0]
+        host, port = caller.site.caller_addresses[0].split(':')
+        idle, _ = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = self.body(program, 1, 300)
+        writer.write(self.head(program, body) + body)
+        await asyncio.sleep(0.2)
+        stopping = asyncio.ensure_future(first.stop())
+        assert await self.read_answers(reader, 10.0) == [200]
+        assert await self.read_answers(idle, 10.0) == []
+        await stopping
+        caller.site.daemons.remove(first)
+
+    @with_site()
+    async def test_a_call_whose_body_is_still_coming_is_answered(self, caller):
+        program = await caller.open(budget=100_000)
+        first = caller.site.daemons[0]
+        host, port = caller.site.caller_addresses[0].split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        body = self.body(program, 1, 8)
+        writer.write(self.head(program, body) + body[:20])
+        await asyncio.sleep(0.2)
+        stopping = asyncio.ensure_future(first.stop())
+        await asyncio.sleep(1.0)
+        writer.write(body[20:])
+        assert await self.read_answers(reader, 10.0) in ([200], [503])
+        await stopping
+        caller.site.daemons.remove(first)
+
+
 class _ReadyEntriesClient(HttpEntryClient):
     """Sends requests to the entries that are ready, as a load balancer does."""
 
