--- a/libs/serving/toucanlead_serving/active_request.py
+++ b/libs/serving/toucanlead_serving/active_request.py
@@ -8,9 +8,9 @@
 
 from toucanlead_core.errors import ExecutionStatus, NotSent
 
-from .archive_client import NO_HISTORY, History
 from .budgets import Reservation
 from .events import StreamEvent
+from .histories import NO_HISTORY, History
 from .registry import Replica
 from .replica_client import NotExecuted
 from .request import CallerReq, ContentIds
--- a/libs/serving/toucanlead_serving/archive_client.py
+++ b/libs/serving/toucanlead_serving/archive_client.py
@@ -1,10 +1,9 @@
 """Archive client: stores finished turns and fetches the history that a new turn continues."""
 
 import asyncio
-from collections import OrderedDict
 
 import structlog
-from attrs import define, evolve, field, frozen
+from attrs import evolve, frozen
 
 from toucanlead_archive.chains import batches, send_predecessors
 from toucanlead_archive.directory import (
@@ -26,10 +25,11 @@
 )
 from toucanlead_peer.serving_transport import turn_from_bytes, turn_to_bytes
 
+from .histories import NO_HISTORY, History, TurnCache
+
 log = structlog.get_logger()
 
 FALLBACK_PREFIX = 'toucanlead/turns/'
-CACHE_BYTES = 6_000_000  # about a thousand turns of 5 kB
 PUT_TIMEOUT_S = 0.3  # a round trip between regions, a disk sync and one retransmission
 COPY_TIMEOUT_S = 1.0  # of a batch of older turns, to an archive that is new to their chain
 FETCH_TIMEOUT_S = 0.3
@@ -39,52 +39,6 @@
 HISTORY_RETRY_AFTER_MS = 300
 
 
-@define
-class TurnCache:
-    """LRU cache of the turns that recently passed through this entry, limited in bytes."""
-
-    limit_bytes: int = CACHE_BYTES
-    size: int = 0
-    _turns: OrderedDict[str, Turn] = field(factory=OrderedDict)
-
-    def get(self, ident: str) -> Turn | None:
-        """Return a turn and mark it as most recently used."""
-        turn = self._turns.get(ident)
-        if turn is not None:
-            self._turns.move_to_end(ident)
-        return turn
-
-    def put(self, turn: Turn) -> None:
-        """Add a turn, evicting the least recently used ones above the limit."""
-        if turn.ident in self._turns:
-            return
-        self._turns[turn.ident] = turn
-        self.size += turn.size
-        while self.size > self.limit_bytes and len(self._turns) > 1:
-            _, evicted = self._turns.popitem(last=False)
-            self.size -= evicted.size
-
-
-@frozen
-class History:
-    """The turns before a new one, newest first; empty for a turn that begins a chain."""
-
-    turns: tuple[Turn, ...] = ()
-
-    @property
-    def text(self) -> bytes:
-        """Return the inputs and outputs of the turns, oldest first."""
-        return b''.join(part for turn in reversed(self.turns) for part in (turn.input, turn.output))
-
-    def up_to(self, ident: str) -> tuple[Turn, ...]:
-        """Return a turn and those before it, empty if it is not among them."""
-        idents = [turn.ident for turn in self.turns]
-        return self.turns[idents.index(ident) :] if ident in idents else ()
-
-
-NO_HISTORY = History()
-
-
 @frozen
 class NoteSearch:
     """The text of a note, None if none was found, and for how long it is kept on.
