The tests of cut answers close their connections

They left stream writers behind, which warned when a later test collected them; no check has changed.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -42,6 +42,9 @@
             return response.head.status, await response.read()
     except OutcomeUnknown:
         return None
+    finally:
+        conn.close()
+        await asyncio.sleep(0.1)  # lets the server close its side
 
 
 class TestCutAnswers:
