--- a/libs/core/toucanlead_core/tasks.py
+++ b/libs/core/toucanlead_core/tasks.py
@@ -44,17 +44,17 @@
         return task
 
     def keep_running(self, work: Callable[[], Awaitable[None]], name: str) -> asyncio.Task:
-        """Run a duty that has no end as a background task.
+        """Run a coroutine function that is not meant to return as a background task.
 
         It starts again, after a delay that grows with each failure, if it fails or ends.
         """
-        return self.spawn(self._run_again_and_again(work, name), name)
+        return self.spawn(self._run_repeatedly(work, name), name)
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
         await cancel_all(self._tasks)
 
-    async def _run_again_and_again(self, work: Callable[[], Awaitable[None]], name: str) -> None:
+    async def _run_repeatedly(self, work: Callable[[], Awaitable[None]], name: str) -> None:
         loop = asyncio.get_running_loop()
         delay_s = RESTART_DELAY_S
         while True:
--- a/libs/serving/toucanlead_serving/forwarder.py
+++ b/libs/serving/toucanlead_serving/forwarder.py
@@ -202,7 +202,7 @@
         if self._aborted:
             return Refusal(
                 Reason.STOPPING,
-                'the process has ended',
+                'the process is ending',
                 ran=active.ran,
                 step=Step.ANSWER,
                 retry_after_ms=STOPPING_RETRY_AFTER_MS,
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -325,7 +325,7 @@
         assert served > len(undisturbed) / 4, (served, len(undisturbed), len(self.replies))
 
     def _check_drained(self):
-        """Check that an entry sends nothing to a run whose farewell it has passed on."""
+        """Check that an entry sends nothing to a run once it has passed on that it leaves."""
         arrived = {(arrival.request, arrival.run) for arrival in self.log.arrivals}
         passed_on = {}
         for _, process, _, ended, reply in sorted(self.replies, key=lambda item: item[3]):
