The soak's served share leaves out calls to an entry that is not running

Trace: of the 87 requests that reached an entry, 85 were answered. Entry 1 was stopped as planned at 14:02:51.6 and, by its log, started at 59.7; entry 2 was away from 03:00.3 to 03.7. Calls in between fail at once, so that there are many of them. A planned stop counted as no disturbance, so the check measured how long a process takes to start.

Change: calls made while no run of the entry has started are left out of the share, by what its log says.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -320,6 +320,7 @@
             reply
             for _, process, began, ended, reply in self.replies
             if not process.was_disturbed(began - 1.0, ended + 1.0)
+            and not process.was_absent(began, ended)
         ]
         served = sum(reply.succeeded for reply in undisturbed)
         assert served > len(undisturbed) / 4, (served, len(undisturbed), len(self.replies))
