The soak's check of leaving replicas takes the end of a run for a restart

Trace: entry 1 got SIGTERM at 14:11:23.2, passed the header on at 24.9, ended at 25.9 and started again at 27.1; the new run sent the turn at 27.9 and learned the header from its answer. The check looked for a SIGTERM in that time, not for the end of the run.

Change: a run lasted through a time if the process was neither absent nor disturbed in it.

--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -61,7 +61,7 @@
     """One program on one address, started again under the same name whenever it ended.
 
     `disturbed` has the loop times between which the process was killed, paused or away;
-    what it was asked then may go unanswered. `stopped` has the times of planned stops. Whoever
+    what it was asked then may go unanswered. `absences` are the times without a run. Whoever
     sends it signals holds `signals`.
     """
 
@@ -75,7 +75,6 @@
     starts_before: int = 0
     disturbed: list[tuple[float, float]] = field(factory=list)
     bad_exits: list[int] = field(factory=list)
-    stopped: list[float] = field(factory=list)
     absences: list[Absence] = field(factory=list)
     watching: set[asyncio.Task] = field(factory=set)
     signals: asyncio.Lock = field(factory=asyncio.Lock)
@@ -133,7 +132,6 @@
         """Stop the process as planned, with more signals meanwhile, and start it again."""
         while not self.has_started():
             await asyncio.sleep(0.1)
-        self.stopped.append(asyncio.get_running_loop().time())
         self.send(signal.SIGTERM)
         for signum in rng.choices((signal.SIGHUP, signal.SIGTERM), k=rng.randrange(3)):
             await asyncio.sleep(rng.random())
@@ -197,8 +195,7 @@
 
     def ran_through(self, begin: float, end: float) -> bool:
         """Return whether one run of the process lasted between two loop times, undisturbed."""
-        stopped = any(begin <= at <= end for at in self.stopped)
-        return not stopped and not self.was_disturbed(begin, end)
+        return not self.was_absent(begin, end) and not self.was_disturbed(begin, end)
 
     def log_lines(self, event: str) -> list[str]:
         """Return the log lines of an event."""
