Crowds of clients that read nothing, repeat an id, or reset and come again

The crowd tests watched the process's own memory only; what the kernel holds of its connections counts toward the VM too, and clients that reset and come back were not played. Change: tests that add what the kernel holds unread and unsent, connections that are not accepted yet included, and that bound descriptors to 1,100, the fewest of such VMs; crowds and bounds are fixed here, before the product changes. Conclusion: unread answers, repeated ids and returning clients are the faults to mend.

--- a/tests/platform/test_crowd_processes.py
+++ b/tests/platform/test_crowd_processes.py
@@ -10,19 +10,30 @@
 import pytest
 
 from .crowd import (
+    AHEAD,
+    ANSWER_BYTES,
     BEHIND,
     BODY_BYTES,
     CROWD,
     DESCRIPTORS,
+    DRIPPING,
     ENDLESS_HEAD,
+    FAR_AHEAD,
+    FEW_DESCRIPTORS,
+    FEW_READERS,
     IDLE_CROWD,
     LARGE_CHUNKS,
+    LONG_BODY_BYTES,
     MEMORY_LIMIT_KB,
+    ONE_ID_AHEAD,
     PATIENT_PATH,
+    READERS,
     SMALL_CHUNKS,
+    WHOLE,
     WITH_LENGTH,
     CrowdSite,
     request_head,
+    requests_ahead,
 )
 
 ENTRY = ('entry', '--adapter', 'platform')
@@ -38,6 +49,7 @@
             await scenario(site)
         finally:
             print('peak_kb', site.peak_kb(), 'descriptors', site.most_descriptors)
+            print('with kernel buffers, KiB', site.most_kb)
             await site.end()
 
     asyncio.run(run())
@@ -93,6 +105,64 @@
         play(tmp_path, scenario)
 
 
+async def check_all_memory(site, descriptors):
+    """Check that process and kernel buffers together stay in the VM, and that it serves."""
+    reply = await site.request()
+    assert site.lives()
+    assert site.peak_kb() <= MEMORY_LIMIT_KB
+    assert site.most_kb <= MEMORY_LIMIT_KB
+    assert site.most_descriptors <= descriptors
+    assert reply.status == 200
+
+
+class TestKernelBuffers:
+    @pytest.mark.parametrize(
+        ('kind', 'count'),
+        [
+            pytest.param(lambda: requests_ahead(AHEAD), READERS, id='many connections'),
+            pytest.param(lambda: requests_ahead(FAR_AHEAD), FEW_READERS, id='few connections'),
+            pytest.param(ONE_ID_AHEAD, READERS, id='one id'),
+        ],
+    )
+    def test_unread_answers_of_requests_ahead_stay_within_the_memory(self, tmp_path, kind, count):
+        async def scenario(site):
+            replica = site.replicas[0]
+            replica.answer_padding = b'z' * ANSWER_BYTES
+            await site.attack(kind, count=count)
+            await asyncio.sleep(5.0)
+            replica.answer_padding = b''
+            await check_all_memory(site, FEW_DESCRIPTORS)
+
+        play(tmp_path, scenario, descriptors=FEW_DESCRIPTORS)
+
+    @pytest.mark.parametrize(
+        'kinds',
+        [
+            pytest.param((WITH_LENGTH,), id='with a length'),
+            pytest.param((LARGE_CHUNKS, SMALL_CHUNKS), id='chunks'),
+            pytest.param((WHOLE,), id='whole, at slow replicas'),
+            pytest.param((DRIPPING,), id='byte by byte at the end'),
+        ],
+    )
+    def test_unread_bodies_stay_within_the_memory(self, tmp_path, kinds):
+        async def scenario(site):
+            await site.attack(*kinds)
+            if DRIPPING in kinds:
+                await site.drip()
+            await check_all_memory(site, FEW_DESCRIPTORS)
+
+        play(tmp_path, scenario, descriptors=FEW_DESCRIPTORS)
+
+
+class TestReturningClients:
+    def test_connections_that_are_reset_leave_memory_and_descriptors(self, tmp_path):
+        async def scenario(site):
+            await site.come_again()
+            await check_all_memory(site, FEW_DESCRIPTORS)
+
+        play(tmp_path, scenario, descriptors=FEW_DESCRIPTORS, body_bytes=LONG_BODY_BYTES)
+
+
 class TestConnections:
     @pytest.mark.parametrize('pieces', [(), (b'POST / HTTP/1.1\r\n',), LARGE_CHUNKS[:1]])
     def test_many_connections_leave_descriptors_for_others(self, tmp_path, pieces):
