A repeated request id replaces a connection to the replica instead of adding one

What callers saw: beside a client that sends many requests with one id, the entry ran out of descriptors, and nobody else got a connection. Cause: a connection carries an id once, since a late second copy of its answer could not be told from the next one. For an id that all idle connections had carried, the pool opened one more and kept the others idle. Evidence: 100 connections with 100 look-ups ahead and one id left 3,025 open connections to one replica after 5 s (the entry had 3,189 descriptors, 1,100 allowed); requests one after another with ids of their own use one connection. Change: the least recently used idle connection is closed when a request can use none of the idle ones. Their number then follows the requests in flight, whatever their ids are. Measured: the new test failed before (20 connections for 20 requests with one id) and passes.

--- a/libs/backends/toucanlead_backends/http_connection.py
+++ b/libs/backends/toucanlead_backends/http_connection.py
@@ -388,10 +388,13 @@
         """Return a connection for one request; raise NotSent if connecting fails.
 
         With `ident`, the connection has not carried a request with that id: a late second
-        copy of its answer could not be told from the answer to this request.
+        copy of its answer could not be told from the answer to this request. A new connection
+        then replaces one that has, so that a repeated id does not add to their number.
         """
         conn = self._take_idle(ident)
         if conn is None:
+            if self._idle:
+                self._idle.pop(0).close()
             conn = await self._open_new(timeout_s)
         if ident:
             conn.carried.add(ident)
--- a/tests/test_connection_pool.py
+++ b/tests/test_connection_pool.py
@@ -1,6 +1,7 @@
 """Tests of how connections to a server that writes unexpected bytes are used."""
 
 import asyncio
+import contextlib
 
 from toucanlead_backends.http_connection import ConnectionPool
 from toucanlead_standins.memory_network import on_host, run_in_memory
@@ -45,3 +46,41 @@
             await asyncio.sleep(0.1)  # lets the server close its side
 
         run_in_memory(scenario)
+
+
+class TestRepeatedId:
+    def test_a_request_with_an_id_that_was_carried_adds_no_connection(self):
+        async def scenario(_):
+            async def serve(reader, writer):
+                with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                    while True:
+                        await reader.readuntil(b'\r\n\r\n')
+                        writer.write(ANSWER)
+                writer.close()
+
+            async def call(ident):
+                conn = await pool.acquire(1.0, ident)
+                assert ident not in conn_ids.setdefault(conn, set())
+                conn_ids[conn].add(ident)
+                conn.send(b'GET / HTTP/1.1\r\nHost: h\r\n\r\n', b'', ident)
+                assert await (await conn.next_response()).read() == b'ok'
+                pool.release(conn)
+
+            conn_ids = {}
+            await on_host(HOST, asyncio.start_server(serve, HOST, PORT))
+            pool = ConnectionPool(f'{HOST}:{PORT}')
+            for _ in range(20):
+                await call('same')
+                await asyncio.sleep(0.01)
+            assert len(pool) == 1
+            assert len(conn_ids) == 20
+            await asyncio.gather(*(call(f'r{number}') for number in range(CALLS)))
+            assert len(pool) == CALLS
+            for _ in range(20):
+                await call('other')
+                await asyncio.sleep(0.01)
+            assert len(pool) == CALLS
+            pool.close()
+            await asyncio.sleep(0.1)  # lets the server close its side
+
+        run_in_memory(scenario)
