What the kernel holds of callers' connections is counted and bounded

What callers saw: beside clients that send requests ahead and read no answer, the VM ran out of memory although the process stayed within its own bounds. Cause: the budget counted what the process holds. The kernel took up to 2.7 MB of unread answers for each connection, and what it has received and nobody has read; the platform counts both toward the VM. Evidence: 100 connections with 100 look-ups ahead, answers of 64 KiB unread: process 75 MB, with kernel buffers 349 MB (287 MB with one request id), 128 MB allowed. Change: KernelBuffers asks the kernel (FIONREAD, TIOCOUTQ) after a read that took all it could, after each 16 KiB of answers, before anybody gives way, and twice a second for connections that are not being read; what it says is part of what a connection holds and gives way with it. TCP_NOTSENT_LOWAT keeps the kernel from taking more of an answer than it can send: bytes on their way are not limited. A connection that is given up with an unread answer is reset, so that the kernel drops the rest. Gauge toucanlead_caller_bytes_bound. Why this works: the sum over all callers is known at each write, so the largest give way before the VM is full, and each client that reads nothing holds some 100 KiB of the kernel instead of megabytes. Connections to replicas, peers and the store are not measured.

--- a/libs/core/toucanlead_core/bounded_http.py
+++ b/libs/core/toucanlead_core/bounded_http.py
@@ -7,7 +7,14 @@
 import structlog
 from aiohttp import web
 
-from .connection_budget import WHOLE_COPIES, Cause, ConnectionBudget, ConnectionHold
+from .connection_budget import (
+    ALWAYS_HELD_BYTES,
+    WHOLE_COPIES,
+    Cause,
+    ConnectionBudget,
+    ConnectionHold,
+)
+from .kernel_buffers import KernelBuffers, KernelBytes, limit_unsent, reset
 from .sockets import READ_BYTES, limit_reads
 
 log = structlog.get_logger()
@@ -41,7 +48,7 @@
 
     def __init__(
         self,
-        manager: web.Server,
+        manager: 'BoundedServer',
         now: Callable[[], float],
         budget: ConnectionBudget,
         max_head: Callable[[], int],
@@ -55,7 +62,10 @@
         self._now = now
         self._budget = budget
         self._max_head = max_head
-        self.hold = ConnectionHold(self._give_up, now())
+        self._kernel = manager.kernel
+        self._open_transport: asyncio.Transport | None = None  # aiohttp forgets it on closing
+        self.hold = ConnectionHold(self._give_up, now(), self._measured)
+        self._sent_bytes = 0  # since the buffers were measured
         self._head_bytes = 0  # of a head that is not whole, or of a trailer
         self._payload = None  # the stream of the body that came last
         self._read = None  # the stream that `read_body` reads
@@ -65,7 +75,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Close a connection that there is no room for."""
         super().connection_made(transport)
+        self._open_transport = transport
         limit_reads(transport)
+        limit_unsent(transport)
         if not self._budget.open(self.hold):
             self.hold.given_up = True
             log.info('connection_refused', cause=Cause.CONNECTIONS.value, open=len(self._budget))
@@ -74,6 +86,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
         self._budget.close(self.hold)
+        self._open_transport = None
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -95,6 +108,28 @@
                 self._refuse_head()
                 return
         self._count_arriving()
+        if data:
+            self._count_left_unread(len(data))
+
+    def _count_left_unread(self, taken: int) -> None:
+        """Count what a read of `taken` bytes left in the socket."""
+        buffered = self.hold.buffered
+        if taken >= READ_BYTES:
+            self._measure()
+        elif buffered.unread:
+            self._update_buffered(KernelBytes(0, buffered.unsent))
+
+    def _measured(self) -> KernelBytes:
+        return self._kernel.measure(self._open_transport)
+
+    def _measure(self) -> None:
+        """Count what the buffers of the socket hold."""
+        self._sent_bytes = 0
+        self._update_buffered(self._measured())
+
+    def _update_buffered(self, buffered: KernelBytes) -> None:
+        if buffered != self.hold.buffered:
+            self._budget.update(self.hold, self._now(), buffered=buffered)
 
     def _refuse_head(self) -> None:
         log.info('head_too_long', bytes=self._head_bytes, peer=str(self.peername))
@@ -106,6 +141,7 @@
     def _count_arriving(self) -> None:
         """Count a head or body that is not whole, and requests behind the one being served."""
         size = self._head_bytes * HEAD_COPIES
+        self.hold.watched = self._reading_paused or self._buffer_paused
         self.hold.behind = self.hold.answering and bool(self._messages)
         payload = self._payload
         if payload is not None and payload is self._read:
@@ -174,21 +210,36 @@
         """Write a part of an answer; count it until the client has taken it."""
         if len(data) <= STREAM_BYTES and not self._is_unread():
             await resp.write(data)
+            self._count_sent(len(data))
             return
         for begin in range(0, len(data), READ_BYTES):
             self._count_unread(len(data) - begin)
             await resp.write(memoryview(data)[begin : begin + READ_BYTES])
         self._count_unread(0)
 
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send the rest of an answer, and count it until the client has taken it."""
+        finished = await super().finish_response(request, resp, start_time)
+        self._count_sent(request.writer.output_size)
+        return finished
+
+    def _count_sent(self, size: int) -> None:
+        """Measure the buffers when more has been sent than any connection may hold."""
+        self._sent_bytes += size
+        if self._sent_bytes > ALWAYS_HELD_BYTES:
+            self._measure()
+
     def _is_unread(self) -> bool:
         transport = self.transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
     def _count_unread(self, left: int) -> None:
         """Count an answer, `left` bytes of which are not written, and what waits behind it."""
-        waiting = self.transport.get_write_buffer_size() if self.transport is not None else 0
-        size = left + waiting + (BEHIND_BYTES if waiting else 0)
-        self._budget.update(self.hold, self._now(), unread=size)
+        self._sent_bytes = 0
+        size = left + (BEHIND_BYTES if self._is_unread() else 0)
+        self._budget.update(self.hold, self._now(), unread=size, buffered=self._measured())
 
     @property
     def may_linger(self) -> bool:
@@ -200,12 +251,11 @@
         hold = self.hold
         log.info('connection_given_up', cause=cause.value, held=hold.held, peer=str(self.peername))
         self._lingering_time = 0.0
-        if self._reading is not None:
+        if hold.unread or hold.buffered.unsent > ALWAYS_HELD_BYTES:
+            reset(self._open_transport)  # so that the answer cannot look complete
+        elif self._reading is not None:
             if not self._reading.expired():
                 self._reading.reschedule(self._loop.time())
-        elif hold.unread:
-            if self.transport is not None:
-                self.transport.abort()
         elif hold.answering:  # what comes behind this request is dropped
             self._messages.clear()
             self.close()
@@ -233,6 +283,7 @@
             options.setdefault('lingering_time', 0.0)
         super().__init__(handler, **options)
         self.budget = budget
+        self.kernel = KernelBuffers()
         self._now = now
         self._max_head = max_head
 
--- a/libs/core/toucanlead_core/connection_budget.py
+++ b/libs/core/toucanlead_core/connection_budget.py
@@ -8,6 +8,8 @@
 
 from attrs import define, field
 
+from .kernel_buffers import NO_BYTES, KernelBytes
+
 BYTES_PER_MB = 1_048_576
 BODIES_SHARE = 1 / 8  # of the memory, for requests and for answers that wait to be read
 CONNECTIONS_SHARE = 1 / 8  # of the memory
@@ -18,6 +20,7 @@
 BODIES_ALWAYS_HELD = 4  # of the longest that is allowed
 ALWAYS_HELD_BYTES = 16_384  # of one connection; never the reason to give it up
 STILL_S = 1.0  # a connection on which nothing has moved for so long gives way first
+MEASURE_PERIOD_S = 0.05  # between two measurements of all connections
 
 
 class Cause(Enum):
@@ -33,28 +36,35 @@
 
     `arriving` counts requests that are not whole, or wait `behind` the one that is being served,
     `serving` that one with its copies, and `unread` an answer that the client has not taken yet.
-    While `answering`, the client has sent a whole request and waits. Something last moved at
-    `moved_at`. `give_up` is called when the connection has to go; it releases what is held soon.
+    `buffered` is what the socket's buffers were last found to hold. While `answering`, the
+    client has sent a whole request and waits. Something last moved at `moved_at`.
+
+    `give_up` is called when the connection has to go; it releases what is held soon. `measure`
+    returns what its buffers hold now. With `watched`, they may fill although nothing is read
+    or written.
     """
 
     give_up: Callable[[Cause], None]
     moved_at: float
+    measure: Callable[[], KernelBytes] = KernelBytes
     arriving: int = 0
     serving: int = 0
     unread: int = 0
+    buffered: KernelBytes = NO_BYTES
     answering: bool = False
     behind: bool = False
+    watched: bool = False
     given_up: bool = False
 
     @property
     def yieldable(self) -> int:
         """The bytes that giving up this connection releases."""
-        return self.arriving + self.unread
+        return self.arriving + self.unread + self.buffered.total
 
     @property
     def held(self) -> int:
         """All bytes."""
-        return self.arriving + self.serving + self.unread
+        return self.yieldable + self.serving
 
 
 @define(eq=False)
@@ -73,6 +83,7 @@
     total: int = 0
     given_up: dict[Cause, int] = field(factory=lambda: dict.fromkeys(Cause, 0))
     _holds: set[ConnectionHold] = field(factory=set)
+    _measured_at: float = float('-inf')
 
     @classmethod
     def for_vm(
@@ -126,6 +137,7 @@
         arriving: int | None = None,
         serving: int | None = None,
         unread: int | None = None,
+        buffered: KernelBytes | None = None,
     ) -> None:
         """Set what a connection holds, and give up connections until the rest fits.
 
@@ -138,6 +150,8 @@
             hold.serving = serving
         if unread is not None:
             hold.unread = unread
+        if buffered is not None:
+            hold.buffered = buffered
         hold.moved_at = now
         if hold not in self._holds:
             return
@@ -149,7 +163,27 @@
         """Return whether a whole request may be served: it fits, or it is small."""
         return self.total <= self.bound or hold.held <= WHOLE_COPIES * ALWAYS_HELD_BYTES
 
+    def sweep(self, now: float) -> None:
+        """Measure buffers that fill by themselves, and give up connections until the rest fits."""
+        self._measure(now)
+        if self.total > self.bound:
+            self._make_room(now, self.bound)
+
+    def _measure(self, now: float) -> None:
+        """Measure the connections whose buffers hold something, or may."""
+        if now - self._measured_at < MEASURE_PERIOD_S:
+            return
+        self._measured_at = now
+        for hold in self._holds:
+            if not hold.watched and not hold.buffered.total:
+                continue
+            before, hold.buffered = hold.buffered, hold.measure()
+            self.total += hold.buffered.total - before.total
+            if hold.buffered.unsent < before.unsent:
+                hold.moved_at = now
+
     def _make_room(self, now: float, max_bytes: int) -> None:
+        self._measure(now)
         while self.total > max_bytes:
             victims = [each for each in self._holds if each.yieldable > ALWAYS_HELD_BYTES]
             if not victims:
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -80,6 +80,7 @@
 STOP_MARGIN_S = 0.6  # before the end of the grace period, to send the last responses
 CONNECTIONS_CHECK_S = 0.02
 ABORT_WAIT_S = 0.1  # to send the answers of aborted requests
+CALLERS_SWEEP_PERIOD_S = 0.5
 
 
 class EntryProcess:
@@ -294,6 +295,7 @@
         ]
         if self.pace is not None:
             self._timer_handles.append(every(REPORT_PERIOD_S, self.pace.update, 'pace'))
+        self._timer_handles.append(every(CALLERS_SWEEP_PERIOD_S, self._sweep_callers, 'callers'))
         self._tasks.keep_running(self.budgets.record_debts, 'debts')
         self._tasks.keep_running(self._upkeep, 'upkeep')
         await self._metrics_server.start()
@@ -343,6 +345,7 @@
         budget = self.connection_budget
         gauge('toucanlead_caller_connections', 'Of callers', lambda: len(budget))
         gauge('toucanlead_caller_bytes', 'Held for callers', lambda: budget.total)
+        gauge('toucanlead_caller_bytes_bound', 'At most of them', lambda: budget.bound)
         for cause in Cause:
             gauge(
                 f'toucanlead_connections_given_up_for_{cause.value}',
@@ -350,6 +353,9 @@
                 lambda cause=cause: budget.given_up[cause],
             )
 
+    async def _sweep_callers(self) -> None:
+        self.connection_budget.sweep(self._timers.now())
+
     def _config_version(self) -> int:
         return self.routes.table.version if self.routes.table else 0
 
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -10,6 +10,7 @@
     ConnectionBudget,
     ConnectionHold,
 )
+from toucanlead_core.kernel_buffers import KernelBytes
 
 MAX_BYTES = 1_000_000
 MB_128 = 128
@@ -21,10 +22,19 @@
     def __init__(self, max_connections=100, longest_body=0):
         self.budget = ConnectionBudget(MAX_BYTES, max_connections, lambda: longest_body)
         self.given_up = []
+        self.buffers = {}
         self.now = 0.0
 
+    def hold(self):
+        hold = ConnectionHold(
+            lambda cause: self.given_up.append((hold, cause)),
+            self.now,
+            lambda: self.buffers.get(hold, KernelBytes()),
+        )
+        return hold
+
     def open(self, **held):
-        hold = ConnectionHold(lambda cause: self.given_up.append((hold, cause)), self.now)
+        hold = self.hold()
         assert self.budget.open(hold)
         if held:
             self.budget.update(hold, self.now, **held)
@@ -105,6 +115,33 @@
         assert (crowd.budget.total, len(crowd.budget)) == (0, 0)
 
 
+class TestBuffers:
+    def test_what_the_socket_holds_gives_way_too(self):
+        crowd = Crowd()
+        unsent = crowd.open(buffered=KernelBytes(unsent=600_000))
+        crowd.buffers[unsent] = unsent.buffered
+        crowd.open(arriving=500_000)
+        assert crowd.victims == [unsent]
+
+    def test_a_client_that_has_read_meanwhile_stays(self):
+        crowd = Crowd()
+        unsent = crowd.open(buffered=KernelBytes(unsent=600_000))
+        crowd.buffers[unsent] = KernelBytes()
+        crowd.open(arriving=500_000)
+        assert not crowd.victims
+        assert crowd.budget.total == 500_000
+
+    def test_buffers_that_fill_by_themselves_are_found(self):
+        crowd = Crowd()
+        holds = [crowd.open() for _ in range(4)]
+        for hold in holds:
+            hold.watched = True
+            crowd.buffers[hold] = KernelBytes(unread=400_000)
+        crowd.budget.sweep(1.0)
+        assert len(crowd.victims) == 2
+        assert crowd.budget.total == 800_000
+
+
 class TestConnections:
     def test_the_one_that_has_been_still_for_longest_gives_way(self):
         crowd = Crowd(max_connections=3)
