A caller that has left is no error of the server

What operators saw: a traceback in the log for each client that reset its connection before its request was begun. Cause: the handler raises ConnectionResetError for a caller that is gone; aiohttp takes any exception of a handler for an error of the server, formats a traceback, and answers 500 to nobody.

--- a/tests/platform/test_bounded_callers.py
+++ b/tests/platform/test_bounded_callers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from toucanlead_platform_standins.site import CALLER_PORT, LOOKUP_PATH, ROUTE_HOST
 
 from .site import ENTRY_1, with_platform_site
@@ -72,6 +74,26 @@
         assert not site.log.runs_of('late')
 
 
+class TestCallersThatLeave:
+    def test_one_that_leaves_with_its_request_unread_is_no_error(self, caplog):
+        class Case:
+            @with_platform_site()
+            async def run(self, site, caller):
+                for number in range(20):
+                    _, writer = await asyncio.open_connection(ENTRY_1.ip, CALLER_PORT)
+                    writer.write(head(f'c{number}', 'Connection: close') + b'0\r\n\r\n')
+                    await asyncio.sleep(0.0001 * number)
+                    writer.transport.abort()
+                await asyncio.sleep(0.5)
+                conn = site.entries[ENTRY_1.name]._caller_server._http_server()
+                error = ConnectionResetError('caller disconnected')
+                with pytest.raises(ConnectionResetError):
+                    conn.handle_error(None, 500, error)
+
+        Case().run()
+        assert 'Error handling request' not in caplog.text
+
+
 class TestHeads:
     @with_platform_site()
     async def test_a_head_above_the_limit_is_refused_and_the_connection_closed(self, site, caller):
