Connections that are given up count until they have ended

What callers saw: clients that reset their connections and come back at once took the memory of the VM; a process would have been ended for it, and all its callers' requests with it. Cause: the budget forgot a connection when it gave it up. Evidence: 60 clients that send 1 MB of a body of 4 MiB, reset and come again 120 times: 160 MB, and up to 363 open sockets that were reset already, with 25 connections in the budget. Change: what is given up leaves the room of those that stay but is counted apart (leaving, leaving_bytes) until the connection is lost. Its body is dropped at once, and what still comes is read and not kept. While more than a 32nd of the memory, or an eighth of the connections, is about to end, nobody lingers; above a quarter new connections are reset; 2 s after it was given up a connection is reset too, unless its request is being served. Why this works: what is not free yet is in a sum that decides about further large requests, politeness and new connections. A try that refused new connections while too many bytes were leaving was left: it refused ordinary callers, once each in two crowd tests (status 0), since what one large victim left in the kernel closed the door for everybody. Tests changed: the budget's test double now tells the budget when a connection that gave way ends, as real ones do.

--- a/libs/core/toucanlead_core/bounded_http.py
+++ b/libs/core/toucanlead_core/bounded_http.py
@@ -22,7 +22,7 @@
 STREAM_BYTES = 16_384  # aiohttp stops reading at twice as many that nobody has read
 CHUNK_BYTES = 80  # of a chunk that nobody has read, beside its content
 REQUEST_BYTES = 4096  # of a parsed request, beside its body
-BEHIND_BYTES = 131_072  # of a back end's answer, received while its client reads nothing
+BEHIND_BYTES = 262_144  # of a back end's answer, received while its client reads nothing
 HEAD_COPIES = 3  # aiohttp keeps each header as bytes and as text
 HEAD_SLACK_BYTES = 4096  # above what a head may have
 DEFAULT_HEAD_BYTES = 16_384
@@ -64,7 +64,7 @@
         self._max_head = max_head
         self._kernel = manager.kernel
         self._open_transport: asyncio.Transport | None = None  # aiohttp forgets it on closing
-        self.hold = ConnectionHold(self._give_up, now(), self._measured)
+        self.hold = ConnectionHold(self._give_up, now(), self._measured, self._reset)
         self._sent_bytes = 0  # since the buffers were measured
         self._head_bytes = 0  # of a head that is not whole, or of a trailer
         self._payload = None  # the stream of the body that came last
@@ -80,8 +80,14 @@
         limit_unsent(transport)
         if not self._budget.open(self.hold):
             self.hold.given_up = True
-            log.info('connection_refused', cause=Cause.CONNECTIONS.value, open=len(self._budget))
+            log.info(
+                'connection_refused',
+                cause=Cause.CONNECTIONS.value,
+                open=len(self._budget),
+                leaving=self._budget.leaving,
+            )
             self.force_close()
+            self._reset()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Forget the connection."""
@@ -176,7 +182,7 @@
     async def read_body(self, req: web.BaseRequest, limit: int, timeout: asyncio.Timeout) -> bytes:
         """Return a body; raise BodyTooLong above `limit` bytes.
 
-        If the connection is given up, `timeout` ends the reading.
+        If the connection is given up, `timeout` ends the reading, or TimeoutError is raised.
         """
         content = self._read = req.content
         self._reading = timeout
@@ -192,11 +198,13 @@
                     raise BodyTooLong(f'body exceeds the limit of {limit} bytes')
                 self._count_arriving()
                 piece = await content.readany()
+                if self.hold.given_up:
+                    raise TimeoutError('the connection is given up')
                 if not piece:
                     return bytes(self._buffer)
                 self._buffer += piece
         finally:
-            self.hold.answering = True
+            self.hold.answering = not self.hold.given_up
             self._reading = None
             self._read = None
             self._buffer = bytearray()
@@ -244,24 +252,37 @@
     @property
     def may_linger(self) -> bool:
         """Whether the connection may stay open for its client to read the last answer."""
-        open_now = len(self._manager.connections) if self._manager is not None else 0
-        return not self.hold.given_up or open_now < self._budget.max_connections
+        return not self.hold.given_up or self._budget.may_linger
 
     def _give_up(self, cause: Cause) -> None:
         hold = self.hold
         log.info('connection_given_up', cause=cause.value, held=hold.held, peer=str(self.peername))
         self._lingering_time = 0.0
         if hold.unread or hold.buffered.unsent > ALWAYS_HELD_BYTES:
-            reset(self._open_transport)  # so that the answer cannot look complete
+            self._reset()  # so that the answer cannot look complete
         elif self._reading is not None:
-            if not self._reading.expired():
+            self._buffer = bytearray()
+            self._drop_what_comes()
+            if not self._budget.may_linger:
+                self._reset()
+            elif not self._reading.expired():
                 self._reading.reschedule(self._loop.time())
-        elif hold.answering:  # what comes behind this request is dropped
+        elif hold.answering:
             self._messages.clear()
-            self.close()
+            self._payload = None
+            self.close()  # after the answer in progress
+            self._drop_what_comes()
         elif not self._messages or not self.refuses_in_handler:
             self.force_close()
 
+    def _drop_what_comes(self) -> None:
+        """Read on until the connection ends, but keep nothing."""
+        self.hold.arriving = 0
+        self._open_transport.resume_reading()
+
+    def _reset(self) -> None:
+        reset(self._open_transport)
+
 
 class BoundedServer(web.Server):
     """aiohttp's server, with connections that share a budget."""
--- a/libs/core/toucanlead_core/connection_budget.py
+++ b/libs/core/toucanlead_core/connection_budget.py
@@ -12,6 +12,7 @@
 
 BYTES_PER_MB = 1_048_576
 BODIES_SHARE = 1 / 8  # of the memory, for requests and for answers that wait to be read
+LEAVING_BYTES_SHARE = 1 / 32  # of the memory, for connections that are given up and have not ended
 CONNECTIONS_SHARE = 1 / 8  # of the memory
 CONNECTION_BYTES = 16_384  # of a connection that holds no request
 DESCRIPTORS_SHARE = 1 / 2  # of the descriptors; the rest is for peers, replicas and the store
@@ -20,6 +21,8 @@
 BODIES_ALWAYS_HELD = 4  # of the longest that is allowed
 ALWAYS_HELD_BYTES = 16_384  # of one connection; never the reason to give it up
 STILL_S = 1.0  # a connection on which nothing has moved for so long gives way first
+LEAVING_SHARE = 1 / 4  # of the connections; more that are given up, but open, admit no new one
+LEAVING_LIMIT_S = 2.0  # how long a connection that is given up may take to end
 MEASURE_PERIOD_S = 0.05  # between two measurements of all connections
 
 
@@ -39,14 +42,15 @@
     `buffered` is what the socket's buffers were last found to hold. While `answering`, the
     client has sent a whole request and waits. Something last moved at `moved_at`.
 
-    `give_up` is called when the connection has to go; it releases what is held soon. `measure`
-    returns what its buffers hold now. With `watched`, they may fill although nothing is read
-    or written.
+    `give_up` is called when the connection has to go; it releases what is held soon. `reset`
+    ends the connection at once, and `measure` returns what its buffers hold now. With
+    `watched`, the buffers may fill although nothing is read or written.
     """
 
     give_up: Callable[[Cause], None]
     moved_at: float
     measure: Callable[[], KernelBytes] = KernelBytes
+    reset: Callable[[], None] = lambda: None
     arriving: int = 0
     serving: int = 0
     unread: int = 0
@@ -55,6 +59,7 @@
     behind: bool = False
     watched: bool = False
     given_up: bool = False
+    given_up_at: float = 0.0
 
     @property
     def yieldable(self) -> int:
@@ -74,15 +79,20 @@
     Above the bound on bytes, connections with requests behind another give way first, then those
     that stand still, then those that hold most. Above the bound on connections, the one that has
     been still for longest gives way unless it waits for an answer; if all wait, a new one is
-    refused.
+    refused. So is a new one while too many of those that were given up have not ended.
+
+    `total` counts the bytes of connections that stay, `leaving_bytes` those of the others; while
+    these exceed `max_leaving_bytes`, nothing large is accepted and nobody may linger.
     """
 
     max_bytes: int
     max_connections: int
     longest_body: Callable[[], int] = int  # that is allowed now; there is always room for some
+    max_leaving_bytes: float = float('inf')
     total: int = 0
     given_up: dict[Cause, int] = field(factory=lambda: dict.fromkeys(Cause, 0))
     _holds: set[ConnectionHold] = field(factory=set)
+    _leaving: set[ConnectionHold] = field(factory=set)
     _measured_at: float = float('-inf')
 
     @classmethod
@@ -96,12 +106,30 @@
             int(memory * BODIES_SHARE),
             max(1, int(min(by_memory, file_descriptors * DESCRIPTORS_SHARE))),
             longest_body,
+            int(memory * LEAVING_BYTES_SHARE),
         )
 
     def __len__(self) -> int:
-        """Return the number of connections."""
+        """Return the number of connections that are not given up."""
         return len(self._holds)
 
+    @property
+    def leaving(self) -> int:
+        """The number of connections that are given up and have not ended."""
+        return len(self._leaving)
+
+    @property
+    def leaving_bytes(self) -> int:
+        """What is held for them, in bytes."""
+        return sum(each.held for each in self._leaving)
+
+    @property
+    def may_linger(self) -> bool:
+        """Whether connections that are given up may take their time to end."""
+        if self.leaving_bytes > self.max_leaving_bytes:
+            return False
+        return len(self._leaving) <= self.max_connections * LEAVING_SHARE / 2
+
     @property
     def bound(self) -> int:
         """The bound on bytes."""
@@ -110,24 +138,28 @@
     def resize(self, other: 'ConnectionBudget') -> None:
         """Take the bounds of another budget; connections give way as new bytes come."""
         self.max_bytes, self.max_connections = other.max_bytes, other.max_connections
+        self.max_leaving_bytes = other.max_leaving_bytes
 
     def open(self, hold: ConnectionHold) -> bool:
         """Add a connection; return False if there is no room for it."""
-        while len(self._holds) >= self.max_connections:
+        if not self._has_room_to_leave():
+            self.given_up[Cause.CONNECTIONS] += 1
+            return False
+        while self._staying() >= self.max_connections:
             others = [each for each in self._holds if not each.answering]
             if not others:
                 self.given_up[Cause.CONNECTIONS] += 1
                 return False
-            self._give_up(min(others, key=lambda each: each.moved_at), Cause.CONNECTIONS)
+            stillest = min(others, key=lambda each: each.moved_at)
+            self._give_up(stillest, hold.moved_at, Cause.CONNECTIONS)
         self._holds.add(hold)
         self.total += hold.held
         return True
 
     def close(self, hold: ConnectionHold) -> None:
-        """Forget a connection."""
-        if hold in self._holds:
-            self._holds.remove(hold)
-            self.total -= hold.held
+        """Forget a connection that has ended."""
+        self._leaving.discard(hold)
+        self._remove(hold)
 
     def update(
         self,
@@ -161,13 +193,27 @@
 
     def accepts(self, hold: ConnectionHold) -> bool:
         """Return whether a whole request may be served: it fits, or it is small."""
-        return self.total <= self.bound or hold.held <= WHOLE_COPIES * ALWAYS_HELD_BYTES
+        if hold.held <= WHOLE_COPIES * ALWAYS_HELD_BYTES:
+            return True
+        return self.total <= self.bound and self.leaving_bytes <= self.max_leaving_bytes
 
     def sweep(self, now: float) -> None:
-        """Measure buffers that fill by themselves, and give up connections until the rest fits."""
+        """Measure buffers that fill by themselves, and end connections that take too long to."""
         self._measure(now)
         if self.total > self.bound:
             self._make_room(now, self.bound)
+        for hold in list(self._leaving):
+            hold.buffered = hold.measure()
+            if not hold.answering and now - hold.given_up_at >= LEAVING_LIMIT_S:
+                hold.reset()
+
+    def _staying(self) -> int:
+        """Return how many connections are open and not about to end."""
+        return len(self._holds) + sum(each.answering for each in self._leaving)
+
+    def _has_room_to_leave(self) -> bool:
+        ending = sum(not each.answering for each in self._leaving)
+        return ending <= self.max_connections * LEAVING_SHARE
 
     def _measure(self, now: float) -> None:
         """Measure the connections whose buffers hold something, or may."""
@@ -188,19 +234,26 @@
             victims = [each for each in self._holds if each.yieldable > ALWAYS_HELD_BYTES]
             if not victims:
                 break
-            self._give_up(max(victims, key=lambda each: _precedence(each, now)), Cause.BYTES)
+            self._give_up(max(victims, key=lambda each: _precedence(each, now)), now, Cause.BYTES)
         while self.total > max_bytes:
             victims = [each for each in self._holds if each.yieldable and not each.answering]
             if not victims:
                 return
-            self._give_up(min(victims, key=lambda each: each.moved_at), Cause.BYTES)
+            self._give_up(min(victims, key=lambda each: each.moved_at), now, Cause.BYTES)
 
-    def _give_up(self, hold: ConnectionHold, cause: Cause) -> None:
-        self.close(hold)
+    def _give_up(self, hold: ConnectionHold, now: float, cause: Cause) -> None:
+        self._remove(hold)
+        self._leaving.add(hold)
         self.given_up[cause] += 1
         hold.given_up = True
+        hold.given_up_at = now
         hold.give_up(cause)
 
+    def _remove(self, hold: ConnectionHold) -> None:
+        if hold in self._holds:
+            self._holds.remove(hold)
+            self.total -= hold.held
+
 
 def _precedence(hold: ConnectionHold, now: float) -> tuple[bool, bool, int]:
     """Return a key that is greatest for the connection to give up first."""
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -346,6 +346,16 @@
         gauge('toucanlead_caller_connections', 'Of callers', lambda: len(budget))
         gauge('toucanlead_caller_bytes', 'Held for callers', lambda: budget.total)
         gauge('toucanlead_caller_bytes_bound', 'At most of them', lambda: budget.bound)
+        gauge(
+            'toucanlead_leaving_connections',
+            'Given up, and not ended yet',
+            lambda: budget.leaving,
+        )
+        gauge(
+            'toucanlead_leaving_bytes',
+            'Held for connections that are given up',
+            lambda: budget.leaving_bytes,
+        )
         for cause in Cause:
             gauge(
                 f'toucanlead_connections_given_up_for_{cause.value}',
--- a/tests/test_connection_budget.py
+++ b/tests/test_connection_budget.py
@@ -5,6 +5,8 @@
 from toucanlead_core.connection_budget import (
     ALWAYS_HELD_BYTES,
     BODIES_ALWAYS_HELD,
+    LEAVING_LIMIT_S,
+    LEAVING_SHARE,
     STILL_S,
     Cause,
     ConnectionBudget,
@@ -13,23 +15,36 @@
 from toucanlead_core.kernel_buffers import KernelBytes
 
 MAX_BYTES = 1_000_000
+MAX_LEAVING_BYTES = 500_000
 MB_128 = 128
 
 
 class Crowd:
-    """A budget with connections that note why they were given up."""
+    """A budget with connections that note why they were given up, and end then.
 
-    def __init__(self, max_connections=100, longest_body=0):
-        self.budget = ConnectionBudget(MAX_BYTES, max_connections, lambda: longest_body)
+    Without `end_at_once`, they stay open until they are reset.
+    """
+
+    def __init__(self, max_connections=100, longest_body=0, end_at_once=True):
+        self.budget = ConnectionBudget(
+            MAX_BYTES, max_connections, lambda: longest_body, MAX_LEAVING_BYTES
+        )
         self.given_up = []
         self.buffers = {}
+        self.end_at_once = end_at_once
         self.now = 0.0
 
     def hold(self):
+        def give_up(cause):
+            self.given_up.append((hold, cause))
+            if self.end_at_once:
+                self.budget.close(hold)
+
         hold = ConnectionHold(
-            lambda cause: self.given_up.append((hold, cause)),
+            give_up,
             self.now,
             lambda: self.buffers.get(hold, KernelBytes()),
+            lambda: self.budget.close(hold),
         )
         return hold
 
@@ -115,6 +130,52 @@
         assert (crowd.budget.total, len(crowd.budget)) == (0, 0)
 
 
+class TestLeaving:
+    def test_what_is_given_up_counts_until_it_has_ended(self):
+        crowd = Crowd(end_at_once=False)
+        large = crowd.open(arriving=600_000)
+        other = crowd.open(arriving=500_000)
+        assert crowd.victims == [large]
+        assert (crowd.budget.total, crowd.budget.leaving_bytes) == (500_000, 600_000)
+        crowd.budget.update(other, crowd.now, arriving=0, serving=500_000)
+        assert not crowd.budget.accepts(other)
+        crowd.budget.close(large)
+        assert crowd.budget.leaving_bytes == 0
+        assert crowd.budget.accepts(other)
+
+    def test_new_ones_are_refused_while_too_many_have_not_ended(self):
+        crowd = Crowd(max_connections=20, end_at_once=False)
+        refused = 0
+        for crowd.now in range(100):
+            refused += not crowd.budget.open(crowd.hold())
+        assert refused
+        assert len(crowd.budget) == 20
+        assert crowd.budget.leaving <= 20 * LEAVING_SHARE + 1
+        crowd.now += LEAVING_LIMIT_S
+        crowd.budget.sweep(crowd.now)
+        assert crowd.budget.leaving == 0
+        assert crowd.budget.open(crowd.hold())
+
+    def test_nobody_lingers_while_what_has_not_ended_fills_its_room(self):
+        crowd = Crowd(end_at_once=False)
+        crowd.open(arriving=MAX_LEAVING_BYTES + 1)
+        assert crowd.budget.may_linger
+        crowd.open(arriving=MAX_LEAVING_BYTES + 1)
+        assert crowd.budget.leaving_bytes > MAX_LEAVING_BYTES
+        assert not crowd.budget.may_linger
+        crowd.budget.close(crowd.victims[0])
+        assert crowd.budget.may_linger
+
+    def test_one_whose_request_runs_is_not_reset(self):
+        crowd = Crowd(end_at_once=False)
+        behind = crowd.open(serving=1000, arriving=600_000)
+        behind.answering = behind.behind = True
+        crowd.open(arriving=500_000)
+        assert crowd.victims == [behind]
+        crowd.budget.sweep(LEAVING_LIMIT_S)
+        assert crowd.budget.leaving == 1
+
+
 class TestBuffers:
     def test_what_the_socket_holds_gives_way_too(self):
         crowd = Crowd()
