One plan divides the memory of the VM among all that a process holds

Cause: callers' bounds followed the memory setting, those of answers of replicas, the key-value service, peers, relayed requests and recent turns did not, or had a floor of their own: in a VM of 128 MB all of them at their worst came to more than the VM, and connections that wait to be accepted were in no sum: 512 of them with a first window of 64 KiB each. Change: MemoryPlan gives every part its bound from limits.memory_mb; the parts add up to less than the memory from 128 MB on. Bounds that change in 128 MB: the key-value service 8 to 4 MB, peers 24 to 14 MB, relayed requests 16 to 4 MB, readiness and metrics 2 to 0.5 MB a port.

--- a/libs/cli/toucanlead/processes.py
+++ b/libs/cli/toucanlead/processes.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+from toucanlead_core.memory_plan import BYTES_PER_MB, MemoryPlan
 from toucanlead_core.process_settings import SettingsFile, load_process_settings
 
 from .environment import Environment
@@ -74,10 +75,20 @@
 
             load_settings(Path(file))
         else:
-            load_process_settings(Path(file))
+            settings = load_process_settings(Path(file))
+            self._print_plan(MemoryPlan.for_vm(settings.limits.memory_mb))
         self._env.print_out(f'{file}: ok')
         return ExitStatus.SUCCESS
 
+    def _print_plan(self, plan: MemoryPlan) -> None:
+        """Print the most that each part of a process holds."""
+        for name, size in plan.parts.items():
+            self._env.print_out(f'memory  {name:<12} {size / BYTES_PER_MB:7.1f} MB')
+        sizes = f'{plan.planned / BYTES_PER_MB:.1f} of {plan.memory / BYTES_PER_MB:.1f} MB'
+        self._env.print_out(f'memory  at most {sizes}')
+        if not plan.fits:
+            self._env.print_err(f'limits.memory_mb is too small for all parts at once: {sizes}')
+
     def _native_entry(self, config: str, log_level: str) -> ExitStatus:
         from toucanlead_entry.daemon import Daemon, run_until
         from toucanlead_entry.settings import load_settings
--- a/libs/core/toucanlead_core/bounded_http.py
+++ b/libs/core/toucanlead_core/bounded_http.py
@@ -15,6 +15,7 @@
     ConnectionHold,
 )
 from .kernel_buffers import KernelBuffers, KernelBytes, limit_unsent, reset
+from .memory_plan import MONITOR_BYTES
 from .sockets import READ_BYTES, limit_reads
 
 log = structlog.get_logger()
@@ -27,7 +28,6 @@
 HEAD_SLACK_BYTES = 4096  # above what a head may have
 DEFAULT_HEAD_BYTES = 16_384
 MONITOR_CONNECTIONS = 32  # of load balancers and metrics collectors
-MONITOR_BYTES = 2_097_152
 _HEAD_TOO_LONG = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
     b'Content-Length: 0\r\nConnection: close\r\n\r\n'
--- a/libs/core/toucanlead_core/connection_budget.py
+++ b/libs/core/toucanlead_core/connection_budget.py
@@ -9,14 +9,9 @@
 from attrs import define, field
 
 from .kernel_buffers import NO_BYTES, KernelBytes
+from .memory_plan import MemoryPlan
 
-BYTES_PER_MB = 1_048_576
-BODIES_SHARE = 1 / 8  # of the memory, for requests and for answers that wait to be read
-LEAVING_BYTES_SHARE = 1 / 32  # of the memory, for connections that are given up and have not ended
-CONNECTIONS_SHARE = 1 / 8  # of the memory
-CONNECTION_BYTES = 16_384  # of a connection that holds no request
 DESCRIPTORS_SHARE = 1 / 2  # of the descriptors; the rest is for peers, replicas and the store
-ANSWERS_SHARE = 1 / 16  # of the memory, for answers of back ends that are being received
 WHOLE_COPIES = 3  # of a request being served: received, encoded, and in the socket's buffer
 BODIES_ALWAYS_HELD = 4  # of the longest that is allowed
 ALWAYS_HELD_BYTES = 16_384  # of one connection; never the reason to give it up
@@ -100,14 +95,10 @@
         cls, memory_mb: float, file_descriptors: int, longest_body: Callable[[], int] = int
     ) -> 'ConnectionBudget':
         """Return the budget of a process with so much memory and so many descriptors."""
-        memory = memory_mb * BYTES_PER_MB
-        by_memory = memory * CONNECTIONS_SHARE / CONNECTION_BYTES
-        return cls(
-            int(memory * BODIES_SHARE),
-            max(1, int(min(by_memory, file_descriptors * DESCRIPTORS_SHARE))),
-            longest_body,
-            int(memory * LEAVING_BYTES_SHARE),
-        )
+        plan = MemoryPlan.for_vm(memory_mb)
+        by_descriptors = max(1, int(file_descriptors * DESCRIPTORS_SHARE))
+        connections = min(plan.max_connections, by_descriptors)
+        return cls(plan.callers, connections, longest_body, plan.leaving)
 
     def __len__(self) -> int:
         """Return the number of connections that are not given up."""
--- a/libs/core/toucanlead_core/process_settings.py
+++ b/libs/core/toucanlead_core/process_settings.py
@@ -90,9 +90,10 @@
     """What the VM gives this process: its memory, and how many descriptors it may open.
 
     Clients that nobody controls may hold an eighth of the memory for bodies and answers that wait,
-    always enough for four of the longest bodies, and as many connections as fit into an eighth
-    of the memory at 16 KiB each and into half of the descriptors. Beyond it, connections that
-    stand still give way first.
+    in the process and in the kernel, always enough for four of the longest bodies, and as many
+    connections as fit into three 32nds of the memory at 12 KiB each and into half of the
+    descriptors. Beyond it, connections that stand still give way first. `check-config` prints
+    what all parts of the process may hold.
     """
 
     memory_mb: float = field(default=1024.0, validator=_POSITIVE)
--- a/libs/entry/toucanlead_entry/settings.py
+++ b/libs/entry/toucanlead_entry/settings.py
@@ -90,7 +90,7 @@
     """Limits on requests, in bytes and seconds, and what the VM gives this process.
 
     Clients may hold an eighth of the memory for requests that come or wait, always enough for
-    four of the longest bodies, and as many connections as fit into another eighth at 16 KiB each
+    four of the longest bodies, and as many connections as fit into three 32nds at 12 KiB each
     and into half of the descriptors. Beyond it, connections that stand still are closed first.
     """
 
--- a/libs/serving/toucanlead_serving/adapter.py
+++ b/libs/serving/toucanlead_serving/adapter.py
@@ -75,11 +75,13 @@
     """Factory for the platform-specific parts of a process."""
 
     @abc.abstractmethod
-    def store(self, relay: RelayTransport, peers: Callable[[], list[str]]) -> PollingStore:
+    def store(
+        self, relay: RelayTransport, peers: Callable[[], list[str]], max_received: int
+    ) -> PollingStore:
         """Return the client of the key-value service.
 
-        While the service rejects this process, calls go through `relay` to one of
-        `peers()`, given as host:port.
+        All answers that are being received have up to `max_received` bytes. While the service
+        rejects this process, calls go through `relay` to one of `peers()`, given as host:port.
         """
 
     @abc.abstractmethod
--- a/libs/serving/toucanlead_serving/archive_client.py
+++ b/libs/serving/toucanlead_serving/archive_client.py
@@ -25,7 +25,7 @@
 )
 from toucanlead_peer.serving_transport import turn_from_bytes, turn_to_bytes
 
-from .histories import NO_HISTORY, History, TurnCache
+from .histories import CACHE_BYTES, NO_HISTORY, History, TurnCache
 
 log = structlog.get_logger()
 
@@ -68,8 +68,12 @@
         zone: str,
         region: str,
         copies: int,
+        cache_bytes: int = CACHE_BYTES,
     ) -> None:
-        """`zone` and `region` are those of this entry; `copies` is the number of disks per turn."""
+        """`zone` and `region` are those of this entry; `copies` is the number of disks per turn.
+
+        Recent turns are kept in up to `cache_bytes`.
+        """
         self._directory = directory
         self._archives = archives
         self._store = store
@@ -79,7 +83,7 @@
         self.copies = copies
         self._failed_at: dict[str, float] = {}
         self._tasks = TaskSet()
-        self.cache = TurnCache()
+        self.cache = TurnCache(cache_bytes)
         self._in_service = RecentIds(IN_SERVICE_LIMIT)
 
     async def history(self, previous: str, program: str, deadline_at: float) -> History:
--- a/libs/serving/toucanlead_serving/archive_process.py
+++ b/libs/serving/toucanlead_serving/archive_process.py
@@ -18,6 +18,7 @@
 from toucanlead_archive.store import TurnStore
 from toucanlead_core.errors import NotSent, OutcomeUnknown
 from toucanlead_core.ids import random_id
+from toucanlead_core.memory_plan import MemoryPlan
 from toucanlead_core.process_settings import ProcessSettings, SettingsFile
 from toucanlead_core.received_bytes import ReceivedBytes
 from toucanlead_core.sockets import split_address
@@ -26,7 +27,6 @@
 from toucanlead_kv.kv import Delete, KvEntry, Put, WatchEvent
 from toucanlead_kv.watch import ChangeSink, NullSink
 from toucanlead_peer.channels import ChannelPool
-from toucanlead_peer.message_limits import MAX_RECEIVED_BYTES
 from toucanlead_peer.serving_transport import GrpcArchives, GrpcFeeds, GrpcRelay, serving_server
 
 from .adapter import Adapter, RetirementKeys
@@ -73,7 +73,8 @@
         self._adapter = adapter
         self._rng = rng
         self._timers = LoopTimers(rng)
-        received = ReceivedBytes(MAX_RECEIVED_BYTES)
+        plan = MemoryPlan.for_vm(settings.limits.memory_mb)
+        received = ReceivedBytes(plan.peers)
         self._channels = ChannelPool(received=received)
         # a failed call on a channel must not end a feed
         self._feed_channels = ChannelPool(received=received)
@@ -85,7 +86,7 @@
         )
         self.archive = Archive(self._turns)
         self.directory = PeerDirectory()
-        self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers)
+        self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers, plan.store)
         self.copy_maintainer = CopyMaintainer(
             self.archive,
             self.directory,
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -11,8 +11,9 @@
     PeerDirectory,
     register,
 )
-from toucanlead_core.connection_budget import ANSWERS_SHARE, BYTES_PER_MB, Cause, ConnectionBudget
+from toucanlead_core.connection_budget import Cause, ConnectionBudget
 from toucanlead_core.ids import random_id
+from toucanlead_core.memory_plan import MemoryPlan
 from toucanlead_core.process_settings import ProcessSettings, SettingsFile
 from toucanlead_core.received_bytes import ReceivedBytes
 from toucanlead_core.sockets import split_address
@@ -27,7 +28,6 @@
 from toucanlead_links.replica_links import CHECK_PERIOD_S, ReplicaLinks
 from toucanlead_peer.channels import ChannelPool
 from toucanlead_peer.crash_transport import GrpcCrashes
-from toucanlead_peer.message_limits import MAX_RECEIVED_BYTES
 from toucanlead_peer.pace_transport import GrpcWork
 from toucanlead_peer.rate_transport import GrpcTokens
 from toucanlead_peer.replica_relay_transport import GrpcReplicaRelays
@@ -92,7 +92,8 @@
         self.settings = settings
         self._adapter = adapter
         self._timers = LoopTimers(rng)
-        received = ReceivedBytes(MAX_RECEIVED_BYTES)
+        plan = MemoryPlan.for_vm(settings.limits.memory_mb)
+        received = ReceivedBytes(plan.peers)
         self._channels = ChannelPool(received=received)
         # a failed call on a channel must not end a feed
         self._feed_channels = ChannelPool(received=received)
@@ -100,7 +101,7 @@
         self.routes = CurrentRoutes()
         self.registry = Registry(settings.zones)
         self.directory = PeerDirectory()
-        self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers)
+        self._store = adapter.store(GrpcRelay(self._channels), self._relay_peers, plan.store)
         self.archive_client = ArchiveClient(
             self.directory,
             GrpcArchives(self._channels),
@@ -109,6 +110,7 @@
             process.zone,
             process.region,
             settings.tolerance.vms + 1,
+            plan.turns,
         )
         address = settings.listen.peers
         self.budgets = Budgets(
@@ -209,6 +211,7 @@
             self.team_rates,
             self._timers,
             self.metrics,
+            plan.answers,
         )
         self.forwarder = Forwarder(
             self.planned_stop,
@@ -225,7 +228,6 @@
         )
         door = TeamDoor(self.routes, self._changes_age_s, self.metrics)
         self.connection_budget = _connection_budget(settings)
-        sends.bound_received(settings.limits.memory_mb * BYTES_PER_MB * ANSWERS_SHARE)
         self._caller_server = adapter.caller_server(
             settings,
             self.forwarder,
@@ -239,7 +241,7 @@
             self.dispatch.send_for_peer,
             self.links.is_down,
             self.registry,
-            RelayAdmission(lambda: self.forwarder.in_progress),
+            RelayAdmission(lambda: self.forwarder.in_progress, max_body_bytes=plan.relayed),
             self._timers,
             cut_off=lambda: self.links.own.down,
             suggested_peer=self.links.suggested_peer,
--- a/libs/serving/toucanlead_serving/sends.py
+++ b/libs/serving/toucanlead_serving/sends.py
@@ -41,14 +41,12 @@
 OTHER_ENTRY_RETRY_AFTER_MS = 50  # other entries serve; a new connection leads to one of them
 MAX_SENDS = 4  # per repeatable request
 MAX_CRASHES = 2  # of replicas under one request, which may be the cause
-MAX_RECEIVED_BYTES = 16_777_216  # of all answers of replicas together: four of the longest
-MIN_RECEIVED_BYTES = 8_388_608  # of them in a small VM: two of the longest
 
 
 class ReplicaSends:
     """Chooses the replicas of a request, and decides whether it may be sent once more.
 
-    `received` counts the bytes of all answers that are being received.
+    `received` counts the bytes of all answers that are being received, `received_bytes` at most.
     """
 
     def __init__(
@@ -61,6 +59,7 @@
         team_rates: TeamRates,
         timers: Timers,
         metrics: ServingMetrics,
+        received_bytes: int,
     ) -> None:
         self._dispatch = dispatch
         self._crash_watch = crash_watch
@@ -70,11 +69,7 @@
         self._team_rates = team_rates
         self._timers = timers
         self._metrics = metrics
-        self.received = ReceivedBytes(MAX_RECEIVED_BYTES)
-
-    def bound_received(self, max_bytes: float) -> None:
-        """Receive no more than `max_bytes` of answers at once, where that is possible."""
-        self.received.max_total = int(min(max(max_bytes, MIN_RECEIVED_BYTES), MAX_RECEIVED_BYTES))
+        self.received = ReceivedBytes(received_bytes)
 
     @asynccontextmanager
     async def send(self, active: ActiveRequest, call: ReplicaCall):
