A time limit around connecting to a peer is not lost

Cause: asyncio.wait_for of Python 3.11 returns the result and swallows a cancellation that comes in the turn of the loop in which its task ends. A follower's silence limit that ran out just as the channel connected, as after a pause of the process, was lost: the follower went on behind its limit, and failed when it set the limit again. Change: asyncio.timeout, which cancels in place.

--- a/libs/peer/toucanlead_peer/channels.py
+++ b/libs/peer/toucanlead_peer/channels.py
@@ -79,7 +79,8 @@
         if channel.open_protocol is not None:  # without the task that a time limit costs
             return channel
         try:
-            protocol = await asyncio.wait_for(channel.__connect__(), timeout_s)
+            async with asyncio.timeout(timeout_s):  # wait_for may swallow a cancellation
+                protocol = await channel.__connect__()
         except (OSError, asyncio.TimeoutError) as exc:
             self.drop(address, channel)
             raise NotSent(repr(exc), step='connect', peer=address) from exc
