The native daemon measures its clients' buffers too

Change: the daemon calls it twice a second for both of its ports; one set of timers. Measured: tests of the caller API, the OpenAI API, stops, administration and bounded servers pass. No crowd was played against the native daemon's process. Conclusion: same bounds at both doors.

--- a/libs/core/toucanlead_core/connection_budget.py
+++ b/libs/core/toucanlead_core/connection_budget.py
@@ -18,6 +18,7 @@
 STILL_S = 1.0  # a connection on which nothing has moved for so long gives way first
 LEAVING_SHARE = 1 / 4  # of the connections; more that are given up, but open, admit no new one
 LEAVING_LIMIT_S = 2.0  # how long a connection that is given up may take to end
+SWEEP_PERIOD_S = 0.5
 MEASURE_PERIOD_S = 0.05  # between two measurements of all connections
 
 
@@ -189,7 +190,10 @@
         return self.total <= self.bound and self.leaving_bytes <= self.max_leaving_bytes
 
     def sweep(self, now: float) -> None:
-        """Measure buffers that fill by themselves, and end connections that take too long to."""
+        """Measure buffers that fill by themselves, and end connections that take too long to.
+
+        To be called every SWEEP_PERIOD_S.
+        """
         self._measure(now)
         if self.total > self.bound:
             self._make_room(now, self.bound)
--- a/libs/entry/toucanlead_entry/daemon.py
+++ b/libs/entry/toucanlead_entry/daemon.py
@@ -13,8 +13,8 @@
 from toucanlead_backends.http_engine import HttpEngine
 from toucanlead_backends.http_tool import HttpTool
 from toucanlead_core.bounded_http import BoundedAppRunner
-from toucanlead_core.connection_budget import ConnectionBudget
-from toucanlead_core.timers import LoopTimers
+from toucanlead_core.connection_budget import SWEEP_PERIOD_S, ConnectionBudget
+from toucanlead_core.timers import LoopTimers, TimerHandle
 from toucanlead_kv.etcd import EtcdStore
 from toucanlead_kv.vm_list import HttpVmList
 from toucanlead_peer.grpc_transport import GrpcTransport, peer_server
@@ -62,7 +62,10 @@
         self._backend_session: aiohttp.ClientSession | None = None
         self._transport = GrpcTransport(resolve)
         self._peer_server = None
-        self._drain = ConnectionDrain(LoopTimers(self._rng))
+        self._timers = LoopTimers(self._rng)
+        self._drain = ConnectionDrain(self._timers)
+        self._budgets: list[ConnectionBudget] = []
+        self._sweep: TimerHandle | None = None
         self.entry: Entry | None = None
         self.port = 0
         self.admin_port = 0
@@ -90,6 +93,7 @@
         ConfigApi(self.entry, keys).add_routes(admin_app)
         self.port = await self._listen(callers_app, entry_settings.port)
         self.admin_port = await self._listen(admin_app, entry_settings.admin_port)
+        self._sweep = self._timers.every(SWEEP_PERIOD_S, self._sweep_clients, 'clients')
         await self.entry.start()
         log.info('entry_started', entry=entry_settings.name, port=self.port, peer_port=peer_port)
 
@@ -98,6 +102,8 @@
         if self.entry is not None:
             await self.entry.stop()
         await asyncio.gather(*(self._drain.drain(runner) for runner in self._runners))
+        if self._sweep is not None:
+            self._sweep.cancel()
         for runner in self._runners:
             await runner.cleanup()
         if self._peer_server is not None:
@@ -111,12 +117,14 @@
 
     async def _listen(self, app: web.Application, port: int) -> int:
         limits = self.settings.limits
+        budget = ConnectionBudget.for_vm(
+            limits.memory_mb, limits.file_descriptors, lambda: limits.body_bytes
+        )
+        self._budgets.append(budget)
         runner = BoundedAppRunner(
             app,
             asyncio.get_running_loop().time,
-            ConnectionBudget.for_vm(
-                limits.memory_mb, limits.file_descriptors, lambda: limits.body_bytes
-            ),
+            budget,
             lambda: limits.header_bytes,
             access_log=None,
             shutdown_timeout=30.0,
@@ -127,6 +135,10 @@
         self._runners.append(runner)
         return sock.getsockname()[1]
 
+    async def _sweep_clients(self) -> None:
+        for budget in self._budgets:
+            budget.sweep(self._timers.now())
+
     def _context(self, peer_address: str) -> Context:
         settings = self.settings
         entry_settings = settings.entry
@@ -142,7 +154,7 @@
             store=EtcdStore(self._session, settings.platform.key_value),
             peers=self._transport,
             backends=build_backends(settings, self._backend_session),
-            timers=LoopTimers(self._rng),
+            timers=self._timers,
             rng=self._rng,
             router=ExpectedCostRouter(settings.preset, cache_estimates, self._rng),
             cache_estimates=cache_estimates,
--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -11,7 +11,7 @@
     PeerDirectory,
     register,
 )
-from toucanlead_core.connection_budget import Cause, ConnectionBudget
+from toucanlead_core.connection_budget import SWEEP_PERIOD_S, Cause, ConnectionBudget
 from toucanlead_core.ids import random_id
 from toucanlead_core.memory_plan import MemoryPlan
 from toucanlead_core.process_settings import ProcessSettings, SettingsFile
@@ -80,7 +80,6 @@
 STOP_MARGIN_S = 0.6  # before the end of the grace period, to send the last responses
 CONNECTIONS_CHECK_S = 0.02
 ABORT_WAIT_S = 0.1  # to send the answers of aborted requests
-CALLERS_SWEEP_PERIOD_S = 0.5
 
 
 class EntryProcess:
@@ -297,7 +296,7 @@
         ]
         if self.pace is not None:
             self._timer_handles.append(every(REPORT_PERIOD_S, self.pace.update, 'pace'))
-        self._timer_handles.append(every(CALLERS_SWEEP_PERIOD_S, self._sweep_callers, 'callers'))
+        self._timer_handles.append(every(SWEEP_PERIOD_S, self._sweep_callers, 'callers'))
         self._tasks.keep_running(self.budgets.record_debts, 'debts')
         self._tasks.keep_running(self._upkeep, 'upkeep')
         await self._metrics_server.start()
