--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -139,6 +139,17 @@
         log = (self.folder / f'{self.vm.name}.log').read_text()
         return log.count(f'event={self.command[0]}_started')
 
+    def resident_kb(self) -> int:
+        """Return the memory that the process has now, in KiB; 0 if it has ended."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        try:
+            status = Path(f'/proc/{self.process.pid}/status').read_text()
+        except OSError:
+            return 0
+        sizes = [line.split()[1] for line in status.splitlines() if line.startswith('VmRSS')]
+        return int(sizes[0]) if sizes else 0
+
     async def stop_and_start(self, rng) -> None:
         """Stop the process as planned, with more signals meanwhile, and start it again."""
         while not self.has_started():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,7 @@
 )
 from toucanlead_standins.kv_model import KvModel
 
+from .crowd import BODY_BYTES, misbehave
 from .processes import SoakProcess
 
 FIRST, _, LAST = os.environ.get('TOUCANLEAD_SOAK_SEEDS', '1').partition('-')
@@ -49,6 +50,10 @@
     b'{"service": "bookings", "address": "10.0.0.1:70000", "zone": "centro-a",'
     b' "slots": 6, "state": "ready"}',
 )
+CROWD = 12  # clients that misbehave, all the time
+MEMORY_MB = 128
+LIMITS = f'[limits]\nmemory_mb = {MEMORY_MB}\nfile_descriptors = 1100\n'
+WATCH_PERIOD_S = 0.1
 LOSS_SLACK_S = 0.2  # a request that crosses the closing of an idle connection is not lost
 
 
@@ -61,6 +66,7 @@
     """Return a configuration with a short retention, and a route of its own."""
     newest = route('newest', f'/v{version}/', 'safe', APP, maxAttempts=2)
     document = configuration(version, (newest,))
+    document['limits']['bodyBytes'] = BODY_BYTES
     for each in document['routes']:
         if 'retentionS' in each:
             each['retentionS'] = RETENTION_S
@@ -84,6 +90,7 @@
         self.version = 3
         self.chains = []
         self.unserved = []
+        self.most_kb = {}
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -123,7 +130,9 @@
         await replica.start()
 
     def _add(self, vm, command, seeds):
-        process = SoakProcess(vm, command, self.folder, f'{self.net}.1', seeds)
+        process = SoakProcess(
+            vm, command, self.folder, f'{self.net}.1', seeds, extra_settings=LIMITS
+        )
         self.processes.append(process)
 
     def configure(self):
@@ -144,7 +153,9 @@
         faults.append(asyncio.ensure_future(self._disturb_service(end)))
         faults.append(asyncio.ensure_future(self._disturb_all_entries(end)))
         faults.append(asyncio.ensure_future(self._change(end)))
-        await asyncio.gather(*callers, *faults)
+        crowd = [asyncio.ensure_future(self._misbehave(end)) for _ in range(CROWD)]
+        faults.append(asyncio.ensure_future(self._watch_memory(end)))
+        await asyncio.gather(*callers, *faults, *crowd)
         await self._await_newest_configuration()
 
     async def _change(self, end):
@@ -199,6 +210,20 @@
                 longest_s = LONG_PAUSE_S if previous and rng.random() < 0.3 else 0.05
                 await asyncio.sleep(longest_s * rng.random())
 
+    async def _misbehave(self, end):
+        """Be one client after another that stays outside the limits."""
+        rng = random.Random(self.rng.random())
+        while asyncio.get_running_loop().time() < end:
+            await misbehave(rng.choice(self.entries).vm.ip, rng)
+            await asyncio.sleep(0.2 * rng.random())
+
+    async def _watch_memory(self, end):
+        while asyncio.get_running_loop().time() < end:
+            for process in self.processes:
+                name = process.vm.name
+                self.most_kb[name] = max(self.most_kb.get(name, 0), process.resident_kb())
+            await asyncio.sleep(WATCH_PERIOD_S)
+
     async def _resume(self, caller, rng, first):
         """Resume a broken stream at other entries; return all of its tries."""
         tries = [first]
@@ -314,6 +339,8 @@
             failures = process.log_lines('task_failed') + process.log_lines('change_left_out')
             assert not failures, (process.vm.name, failures[:3])
         assert not self.unserved, (self.version, self.unserved)
+        print('most resident, KiB', self.most_kb)
+        assert max(self.most_kb.values()) <= MEMORY_MB * 1024, self.most_kb
         for kept_at, began, reply in self.chains:
             lost = reply.status in (404, 410) and began - kept_at < RETENTION_S
             assert not lost, (reply.ident, reply.body, began - kept_at)
