Crowds without a key, and a planned stop beside a crowd

Change: tests of both; what a process and the kernel hold stays in 128 MiB, the stop ends with 0. Not tried: all entries at once, a crowd while bodies are relayed through peers, the native daemon's process.

--- a/tests/platform/crowd.py
+++ b/tests/platform/crowd.py
@@ -27,6 +27,7 @@
     Vm,
     configuration,
     route,
+    team,
 )
 from toucanlead_standins.kv_model import KvModel
 
@@ -59,6 +60,7 @@
 SLOW_CALL_S = 15.0
 PATIENT_PATH, SLOW_PATH = '/patient/', '/slow/'
 SLOW_APP = 'slow-app'
+TEAM, KEY = 'ordinary-team', 'ordinary-key'
 PORTS = {'callers': CALLER_PORT, 'readiness': READINESS_PORT, 'metrics': METRICS_PORT}
 _HAS_LIMITS = any(each.name == 'limits' for each in attrs.fields(ProcessSettings))
 
@@ -122,12 +124,18 @@
     numbers = iter(range(1, 250))
 
     def __init__(
-        self, folder: Path, *, descriptors: int = 8192, body_bytes: int = BODY_BYTES
+        self,
+        folder: Path,
+        *,
+        descriptors: int = 8192,
+        body_bytes: int = BODY_BYTES,
+        key: str = '',
     ) -> None:
         """The process believes that its VM has MEMORY_MB and `descriptors`.
 
-        A body may have `body_bytes`.
+        A body may have `body_bytes`. With `key`, callers need it; the crowd has none.
         """
+        self.key = key
         self.net = f'127.{20 + os.getpid() % 230}.{next(self.numbers)}'
         self.folder = folder
         self.vm = Vm('crowded', 'centro-a', f'{self.net}.10')
@@ -157,6 +165,7 @@
                 route('patient', PATIENT_PATH, 'safe', APP, **slow),
                 route('slow', SLOW_PATH, 'safe', SLOW_APP, **slow),
             ),
+            (team(TEAM, self.key),) if self.key else (),
         )
         document['services'].append({**document['services'][-1], 'name': SLOW_APP})
         document['limits']['bodyBytes'] = self._body_bytes
@@ -187,7 +196,10 @@
         async with asyncio.timeout(READY_LIMIT_S):
             while not self.process.has_started():
                 await asyncio.sleep(0.1)
-            while command[0] == 'entry' and not (await Caller('ready').lookup(self.vm)).succeeded:
+            while (
+                command[0] == 'entry'
+                and not (await self._caller('ready').lookup(self.vm)).succeeded
+            ):
                 await asyncio.sleep(0.1)
         self._watching = asyncio.ensure_future(self._watch())
 
@@ -297,10 +309,13 @@
 
     async def request(self, body: bytes = b'', path: str = PATIENT_PATH):
         """Make one request, as a caller that stays inside the limits."""
-        return await Caller('ordinary').request(
+        return await self._caller('ordinary').request(
             self.vm, 'POST', path + 'y', body, deadline_ms=DEADLINE_MS
         )
 
+    def _caller(self, program: str) -> Caller:
+        return Caller(program, key=self.key, team=TEAM if self.key else '')
+
     def leave(self) -> None:
         """Close all clients."""
         for writer in self.writers:
--- a/tests/platform/test_crowd_processes.py
+++ b/tests/platform/test_crowd_processes.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import signal
 
 import pytest
 
@@ -22,6 +23,7 @@
     FEW_DESCRIPTORS,
     FEW_READERS,
     IDLE_CROWD,
+    KEY,
     LARGE_CHUNKS,
     LONG_BODY_BYTES,
     MEMORY_LIMIT_KB,
@@ -48,7 +50,8 @@
         try:
             await scenario(site)
         finally:
-            print('peak_kb', site.peak_kb(), 'descriptors', site.most_descriptors)
+            with contextlib.suppress(OSError):  # it may have ended
+                print('peak_kb', site.peak_kb(), 'descriptors', site.most_descriptors)
             print('with kernel buffers, KiB', site.most_kb)
             await site.end()
 
@@ -163,6 +166,44 @@
         play(tmp_path, scenario, descriptors=FEW_DESCRIPTORS, body_bytes=LONG_BODY_BYTES)
 
 
+class TestKeys:
+    @pytest.mark.parametrize(
+        'kinds',
+        [
+            pytest.param((LARGE_CHUNKS, SMALL_CHUNKS), id='chunks'),
+            pytest.param((WITH_LENGTH,), id='with a length'),
+        ],
+    )
+    def test_bodies_of_callers_without_a_key_stay_within_the_memory(self, tmp_path, kinds):
+        async def scenario(site):
+            await site.attack(*kinds)
+            await check_all_memory(site, FEW_DESCRIPTORS)
+
+        play(tmp_path, scenario, descriptors=FEW_DESCRIPTORS, key=KEY)
+
+
+class TestPlannedStop:
+    @pytest.mark.parametrize(
+        'kinds',
+        [
+            pytest.param((LARGE_CHUNKS, SMALL_CHUNKS), id='chunks'),
+            pytest.param((WHOLE, BEHIND), id='whole and behind'),
+        ],
+    )
+    def test_a_process_ends_as_planned_beside_a_crowd(self, tmp_path, kinds):
+        async def scenario(site):
+            coming = asyncio.ensure_future(site.attack(*kinds))
+            await asyncio.sleep(1.0)
+            peak_kb = site.peak_kb()
+            site.process.send(signal.SIGTERM)
+            assert await site.process.process.wait() == 0
+            await coming
+            assert max(peak_kb, site.most_kb) <= MEMORY_LIMIT_KB
+            assert site.most_descriptors <= FEW_DESCRIPTORS
+
+        play(tmp_path, scenario, descriptors=FEW_DESCRIPTORS)
+
+
 class TestConnections:
     @pytest.mark.parametrize('pieces', [(), (b'POST / HTTP/1.1\r\n',), LARGE_CHUNKS[:1]])
     def test_many_connections_leave_descriptors_for_others(self, tmp_path, pieces):
