--- a/libs/serving/toucanlead_serving/entry_process.py
+++ b/libs/serving/toucanlead_serving/entry_process.py
@@ -296,7 +296,8 @@
         ]
         if self.pace is not None:
             self._timer_handles.append(every(REPORT_PERIOD_S, self.pace.update, 'pace'))
-        self._timer_handles.append(every(SWEEP_PERIOD_S, self._sweep_callers, 'callers'))
+        own_jitter = LoopTimers(random.Random(self.settings.process.name))
+        self._timer_handles.append(own_jitter.every(SWEEP_PERIOD_S, self._sweep_callers, 'callers'))
         self._tasks.keep_running(self.budgets.record_debts, 'debts')
         self._tasks.keep_running(self._upkeep, 'upkeep')
         await self._metrics_server.start()
--- a/tests/soak/test_two_builds.py
+++ b/tests/soak/test_two_builds.py
@@ -50,6 +50,7 @@
     def _add(self, vm, command, seeds):
         super()._add(vm, command, seeds)
         self.processes[-1].build = self.before
+        self.processes[-1].extra_settings = ''  # the last landing has no limits
 
     async def replace_all(self):
         """Call, and replace the processes meanwhile; then all serve the newest configuration."""
