Connections that are about to end take no room from whole requests

What callers saw: an ordinary request of 1 MB, sent just after a crowd had left, was refused (503, no_memory). Cause: a whole request was accepted only while what is held for connections that are given up stayed within its part. Those whose own request still runs are drained by reading on, which on a busy machine lasts longer than the crowd stays. Change: whole requests are accepted by the bytes of those that stay, as before; what is leaving still ends politeness and new connections. Refusing such a request released little: its body had been received already. Tests of the budget, its machine, bounded callers and fuzz pass.

--- a/libs/core/toucanlead_core/connection_budget.py
+++ b/libs/core/toucanlead_core/connection_budget.py
@@ -78,7 +78,7 @@
     refused. So is a new one while too many of those that were given up have not ended.
 
     `total` counts the bytes of connections that stay, `leaving_bytes` those of the others; while
-    these exceed `max_leaving_bytes`, nothing large is accepted and nobody may linger.
+    these exceed `max_leaving_bytes` nobody may linger.
     """
 
     max_bytes: int
@@ -185,9 +185,7 @@
 
     def accepts(self, hold: ConnectionHold) -> bool:
         """Return whether a whole request may be served: it fits, or it is small."""
-        if hold.held <= WHOLE_COPIES * ALWAYS_HELD_BYTES:
-            return True
-        return self.total <= self.bound and self.leaving_bytes <= self.max_leaving_bytes
+        return self.total <= self.bound or hold.held <= WHOLE_COPIES * ALWAYS_HELD_BYTES
 
     def sweep(self, now: float) -> None:
         """Measure buffers that fill by themselves, and end connections that take too long to.
