A request counts as being served although a body behind it is still coming

What callers saw: an ordinary request of 1 MB beside or just after a crowd with a body behind a slow order was refused (503, no_memory), where the crowd should have given way. Cause: whether a request is being served was taken from the body that came last on its connection. Where the next request's head arrived in the same read, the order counted as not served and the body as not behind it: it had no precedence, and given up it released nothing until the order had ended. Change: the request says whether its own body has arrived.

--- a/libs/core/toucanlead_core/bounded_http.py
+++ b/libs/core/toucanlead_core/bounded_http.py
@@ -168,9 +168,10 @@
         return self._payload is None or self._payload.is_eof()
 
     @contextmanager
-    def answering(self) -> Iterator[None]:
+    def answering(self, req: web.BaseRequest) -> Iterator[None]:
         """Mark the time during which a request is served."""
-        self.hold.answering = self.received_whole
+        self.hold.answering = req.content.is_eof()  # a body may follow behind it already
+        self._count_arriving()
         try:
             yield
         finally:
--- a/tests/platform/test_bounded_callers.py
+++ b/tests/platform/test_bounded_callers.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from toucanlead_core.connection_budget import Cause
 from toucanlead_platform_standins.site import CALLER_PORT, LOOKUP_PATH, ROUTE_HOST
 
 from .site import ENTRY_1, with_platform_site
@@ -74,6 +75,24 @@
         assert not site.log.runs_of('late')
 
 
+class TestRequestsBehind:
+    @with_platform_site()
+    async def test_a_body_behind_a_request_gives_way_and_the_request_is_answered(
+        self, site, caller
+    ):
+        budget = fill_up(site)
+        for replica in site.replicas.values():
+            replica.call_duration_s = 0.5
+        first = head('first').replace(b'Transfer-Encoding: chunked', b'Content-Length: 0')
+        conns = [await open_and_send(first + head(f'b{n}') + PIECE) for n in range(CROWD)]
+        assert budget.given_up[Cause.BYTES]
+        assert all(hold.behind for hold in budget._holds)
+        reader, writer = await open_and_send(head('own') + PIECE + b'0\r\n\r\n')
+        assert b' 200 ' in await reader.readline()
+        for reader, _ in conns:
+            assert b' 200 ' in await reader.readline()
+
+
 class TestCallersThatLeave:
     def test_one_that_leaves_with_its_request_unread_is_no_error(self, caplog):
         class Case:
