--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,4 +6,4 @@
     python3 -m compileall -q "$folder"
 done
 cd review
-PYTHONPATH=../target/deps:. python3 -S -c 'import lib3.script, lib3.turns'
+PYTHONPATH=../target/deps:. python3 -S -c 'import lib3.script, lib3.turns, lib3.crowd'
