--- a/review/lib3/fleet.py
+++ b/review/lib3/fleet.py
@@ -102,8 +102,8 @@
     }
 
 
-def configuration(version: int, routes: list[dict]) -> dict:
-    """Return a configuration of the operator."""
+def configuration(version: int, routes: list[dict], tenants: list[dict] | None = None) -> dict:
+    """Return a configuration of the operator, with tenants if there are any."""
     engine = {'slots': 12, 'kvCacheTokens': 98048, 'stride': 10, 'kvTokenBytes': 16384}
     return {
         'version': version,
@@ -118,6 +118,7 @@
             'headerTimeoutMs': 3000,
             'idleTimeoutMs': 15000,
         },
+        **({'tenants': tenants} if tenants else {}),
     }
 
 
@@ -174,7 +175,7 @@
                 'diskMb': 0 if front else 390,
             },
             'faultTolerance': {'machines': 1, 'zones': 0, 'regions': 0},
-            'bounds': {'graceS': 8},
+            'bounds': {'graceS': 8, **self.fleet.bounds},
             'platform': {
                 'address': f'{self.fleet.store_ip}:{STORE_PORT}',
                 'writesPerS': 400,
@@ -261,6 +262,7 @@
     entry_mb: int = 150
     archive_mb: int = 170
     replica_mbit_per_s: float | None = None
+    bounds: dict = field(factory=dict)
     store: Store = field(factory=Store)
     machines: list[Machine] = field(factory=list)
     replicas: list[Replica] = field(factory=list)
@@ -314,10 +316,10 @@
         with self.record.open('a') as record:
             record.write(f'{time.monotonic() - self.began_at:8.3f} {text}\n')
 
-    async def start(self, routes: list[dict]) -> None:
+    async def start(self, routes: list[dict], tenants: list[dict] | None = None) -> None:
         """Start everything, and wait until all entries are ready."""
         await self.store.start(self.store_ip, STORE_PORT)
-        self.store.put('op/config', configuration(1, routes))
+        self.store.put('op/config', configuration(1, routes, tenants))
         for replica in self.replicas:
             await replica.start()
         for machine in self.machines:
