--- a/review/lib3/crowd.py
+++ b/review/lib3/crowd.py
@@ -12,6 +12,8 @@
 
 PIECE_CHUNKS = 1000
 CHUNK = b'1\r\nx\r\n'
+COME_AGAIN_S = 0.1
+STAY_S = 60.0
 
 
 class Rate:
@@ -30,21 +32,30 @@
 
 
 async def client(address: tuple[str, int], host: str, content: int, rate: Rate) -> None:
-    """Send a body that stops short of its end, and stay."""
+    """Send a body that stops short of its end, and stay; come again if the connection ends."""
+    while True:
+        try:
+            await send_body(address, host, content, rate)
+        except OSError:
+            await asyncio.sleep(COME_AGAIN_S)
+
+
+async def send_body(address: tuple[str, int], host: str, content: int, rate: Rate) -> None:
+    """Send a body that stops short of its end, and stay; raise OSError if that is refused."""
     head = (
         f'POST /booking/2f HTTP/1.1\r\nHost: {host}\r\nToucanlead-Request-Id: {new_id()}\r\n'
         'Toucanlead-Deadline-Ms: 60000\r\nTransfer-Encoding: chunked\r\n\r\n'
     )
+    _, writer = await asyncio.open_connection(*address)
     try:
-        _, writer = await asyncio.open_connection(*address)
         writer.write(head.encode())
         for _ in range((content - 1) // PIECE_CHUNKS):
             await rate.wait(PIECE_CHUNKS * len(CHUNK))
             writer.write(CHUNK * PIECE_CHUNKS)
             await writer.drain()
-        await asyncio.sleep(3600)
-    except OSError:
-        return
+        await asyncio.sleep(STAY_S)
+    finally:
+        writer.close()
 
 
 async def main() -> None:
