--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,47 +1,72 @@
-"""A turn that names no turn, after the store was away for some seconds."""
+"""A turn whose history crashes replicas, and turns of other programs with the same input."""
 
 import asyncio
 from pathlib import Path
 
-from lib3.fleet import Fleet
+from lib3.fleet import Fleet, new_id
 from lib3.script import BROKEN, HELD, NOT_RUN, TROUBLE, run
 from lib3.turns import KEPT, describe, send_turn
 
-AWAY_S = 3.0
-TRIES = 6
-RETRY_S = 0.4
-INPUT = b'the next question'
+DEADLY = b'a history that crashes engines'
+COMMON_INPUT = b'yes, go on'
+OTHERS = 6
+TRIES = 5
+SETTLE_S = 8.0  # the replicas are back after 2 s; stableWindowMs is 4,000
+
+
+def crashes(body: bytes) -> bool:
+    """Return whether a turn crashes the engine that begins to run it."""
+    return TROUBLE and body.startswith(DEADLY) and body.endswith(COMMON_INPUT)
+
+
+async def begin(fleet: Fleet, number: int, body: bytes) -> tuple[str, str]:
+    """Send the first turn of a program; return the program and the turn."""
+    program = f'p{number}{new_id()[:6]}'
+    machine = fleet.fronts[number % len(fleet.fronts)]
+    ident, answer = await send_turn(machine, program, body)
+    fleet.note(f'first turn {ident} of {program}: {describe(answer)}')
+    return program, ident
 
 
 async def play(fleet: Fleet) -> int:
-    """Return whether a replica ran a turn that names no turn."""
+    """Return whether turns of other programs reach no replica in five tries."""
+    for replica in fleet.replicas:
+        replica.crashes_on = crashes
     await fleet.start([KEPT])
-    machine = fleet.fronts[0]
-    program = 'garage7'
     await asyncio.sleep(1.0)
-    fleet.store.down = TROUBLE
-    fleet.note(f'the store is {"away" if TROUBLE else "there"}')
-    await asyncio.sleep(AWAY_S / 2)
-    for _ in range(TRIES):
-        ident, answer = await send_turn(machine, program, b'hello', budget=2000)
-        fleet.note(f'first turn {ident} of {program}: {describe(answer)}')
+    others = [await begin(fleet, n, b'program %d' % n) for n in range(OTHERS)]
+    program, turn = await begin(fleet, 99, DEADLY)
+    for number in range(3):  # a turn that fails is sent again, at most twice
+        machine = fleet.fronts[number % len(fleet.fronts)]
+        ident, answer = await send_turn(machine, program, COMMON_INPUT, turn)
+        fleet.note(f'turn {ident} of {program} to {machine.name}: {describe(answer)}')
         if answer.status == 200:
             break
-        await asyncio.sleep(RETRY_S)
-    else:
+        await asyncio.sleep(0.4)
+    fleet.note(f'replicas that crashed: {sum(each.crashes for each in fleet.replicas)}')
+    await asyncio.sleep(SETTLE_S)
+    lost = firsts = 0
+    for number, (other, last) in enumerate(others):
+        sent = []
+        for attempt in range(TRIES):
+            machine = fleet.fronts[(number + attempt) % len(fleet.fronts)]
+            ident, answer = await send_turn(machine, other, COMMON_INPUT, last)
+            sent.append(ident)
+            fleet.note(f'turn {ident} of {other} to {machine.name}: {describe(answer)}')
+            if answer.status == 200:
+                break
+            await asyncio.sleep(0.3)
+        lost += not any(each.request in sent for each in fleet.runs)
+        _, first = await begin(fleet, 200 + number, b'new program %d' % number)
+        firsts += any(each.request == first for each in fleet.runs)
+    fleet.note(
+        f'{lost} of {OTHERS} turns reached no replica in {TRIES} tries, '
+        f'{firsts} of {OTHERS} first turns did'
+    )
+    if firsts < 0.9 * OTHERS:
         return NOT_RUN
-    await asyncio.sleep(AWAY_S / 2)
-    fleet.store.down = False
-    fleet.note('the store is there')
-    await asyncio.sleep(5.0)
-    named = f'debt-{program}'
-    ident, answer = await send_turn(machine, program, INPUT, named, budget=2000)
-    fleet.note(f'turn {ident} that names {named}, which is no turn: {describe(answer)}')
-    ran = [each for each in fleet.runs if each.request == ident]
-    for each in ran:
-        fleet.note(f'replica {each.replica} ran {ident} with the body {each.start!r}')
-    return BROKEN if ran else HELD
+    return BROKEN if lost else HELD
 
 
 if __name__ == '__main__':
-    run(play, Path(__file__).parent)
+    run(play, Path(__file__).parent, engines=4, apps=1)
--- a/review/lib3/http.py
+++ b/review/lib3/http.py
@@ -78,13 +78,22 @@
         return bytes(data)
 
 
-async def serve(host: str, port: int, handler: Handler, link: Link | None = None) -> asyncio.Server:
+async def serve(
+    host: str,
+    port: int,
+    handler: Handler,
+    link: Link | None = None,
+    open_now: set[asyncio.StreamWriter] | None = None,
+) -> asyncio.Server:
     """Serve requests on kept connections; the handler writes the whole response.
 
-    With a `link`, bodies come at its rate, through small windows.
+    With a `link`, bodies come at its rate, through small windows. `open_now` is kept up to date
+    with the open connections.
     """
+    opened = set() if open_now is None else open_now
 
     async def connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        opened.add(writer)
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -102,6 +111,7 @@
         except asyncio.CancelledError:  # at the end of the script
             pass
         finally:
+            opened.discard(writer)
             writer.close()
 
     if link is None:
--- a/review/lib3/replica.py
+++ b/review/lib3/replica.py
@@ -4,13 +4,14 @@
 import hashlib
 import json
 import time
+from collections.abc import Callable
 
 from attrs import define, field
 
 from .http import Link, Request, response, serve
 from .store import Store
 
-HEARTBEAT_S = 1.2
+BACK_AFTER_S = 2.0
 
 
 @define
@@ -44,13 +45,27 @@
     link: Link | None = None
     born: int = field(factory=lambda: int(time.time() * 1e3))
     sequence: int = 0
-    server: asyncio.Server | None = None
+    crashes_on: Callable[[bytes], bool] = lambda body: False
+    crashes: int = 0
+    _server: asyncio.Server | None = None
+    _open: set[asyncio.StreamWriter] = field(factory=set)
+    _task: asyncio.Task | None = None
 
     async def start(self) -> None:
-        """Listen and register; a heartbeat follows."""
-        self.server = await serve(self.host, self.port, self._handle, self.link)
+        """Listen and register."""
+        self._server = await serve(self.host, self.port, self._handle, self.link, self._open)
         self.register()
 
+    async def _crash(self) -> None:
+        """End as a process does that crashes; be back some seconds later, as a new run."""
+        self.crashes += 1
+        self._server.close()
+        for writer in list(self._open):
+            writer.transport.abort()
+        await asyncio.sleep(BACK_AFTER_S)
+        self.born, self.sequence = int(time.time() * 1e3), 0
+        await self.start()
+
     def register(self, state: str = 'ready') -> None:
         """Write the registration."""
         self.sequence += 1
@@ -93,6 +108,9 @@
                 req.headers,
             )
         )
+        if self.crashes_on(req.body):
+            self._task = asyncio.ensure_future(self._crash())
+            return
         headers['Toucanlead-Response-Signature'] = f's.{request}'
         if not self.events:
             await asyncio.sleep(self.work_s)
--- a/review/lib3/script.py
+++ b/review/lib3/script.py
@@ -24,7 +24,7 @@
     try:
         async with asyncio.timeout(LIMIT_S):
             code = await play(fleet)
-    except (TimeoutError, OSError) as exc:
+    except Exception as exc:  # whatever it is, it doesn't break the rule
         fleet.note(f'could not run: {exc!r}')
     finally:
         await fleet.end()
--- a/review/lib3/turns.py
+++ b/review/lib3/turns.py
@@ -11,6 +11,7 @@
 )
 TURN_TOKENS = 70  # of one turn at most: 7 events of 10 tokens
 SAMPLE_S = 0.02
+FINISH_MS = 40_000  # of a program; the scripts end before
 
 
 async def send_turn(
@@ -27,7 +28,7 @@
         'Toucanlead-Request-Id': ident,
         'Toucanlead-Program-Id': program,
         'Toucanlead-Session-Id': program,
-        'Toucanlead-Finish-Ms': '20000',
+        'Toucanlead-Finish-Ms': str(FINISH_MS),
         'Toucanlead-Deadline-Ms': '4000',
         'Toucanlead-Token-Budget': str(budget),
         'Toucanlead-Token-Usage': f'100,{TURN_TOKENS}',
