--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,72 +1,97 @@
-"""A turn whose history crashes replicas, and turns of other programs with the same input."""
+"""A tenant that sends more than its allotment, while all entries are killed at once."""
 
 import asyncio
+import signal
+import time
 from pathlib import Path
 
-from lib3.fleet import Fleet, new_id
+from attrs import frozen
+from lib3.fleet import HOST, Fleet, Machine, new_id, route
+from lib3.http import ask
 from lib3.script import BROKEN, HELD, NOT_RUN, TROUBLE, run
-from lib3.turns import KEPT, describe, send_turn
 
-DEADLY = b'a history that crashes engines'
-COMMON_INPUT = b'yes, go on'
-OTHERS = 6
-TRIES = 5
-SETTLE_S = 8.0  # the replicas are back after 2 s; stableWindowMs is 4,000
+WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20.0
+RATE_PER_S, BURST = 20.0, 20.0
+ALLOWED = (RATE_PER_S * WINDOW_S + BURST) * (1 + OVERAGE) + SLACK
+USUAL_PER_S = 12.0  # of the tenant; its allotment is 1.6 times that
+HOT_FACTOR = 7.5
+CALM_S, HOT_S, KILL_AFTER_S = 3.0, 6.5, 2.2
+KEY = 'kiln-42'
 
 
-def crashes(body: bytes) -> bool:
-    """Return whether a turn crashes the engine that begins to run it."""
-    return TROUBLE and body.startswith(DEADLY) and body.endswith(COMMON_INPUT)
+@frozen
+class Sent:
+    """A request of the tenant, by its id, and when it was sent."""
 
+    ident: str
+    at: float
 
-async def begin(fleet: Fleet, number: int, body: bytes) -> tuple[str, str]:
-    """Send the first turn of a program; return the program and the turn."""
-    program = f'p{number}{new_id()[:6]}'
-    machine = fleet.fronts[number % len(fleet.fronts)]
-    ident, answer = await send_turn(machine, program, body)
-    fleet.note(f'first turn {ident} of {program}: {describe(answer)}')
-    return program, ident
 
+async def look_up(fleet: Fleet, machine: Machine, sent: list[Sent]) -> None:
+    """Send one request of the tenant."""
+    ident = new_id()
+    sent.append(Sent(ident, time.monotonic()))
+    headers = {
+        'Host': HOST,
+        'Authorization': f'Token {KEY}',
+        'Toucanlead-Request-Id': ident,
+        'Toucanlead-Deadline-Ms': '1200',
+    }
+    answer = await ask(machine.front, 'GET', '/lookup/2f', headers, timeout_s=1.5)
+    fleet.note(f'request {ident} to {machine.name}: {answer.status or "no answer"}')
 
-async def play(fleet: Fleet) -> int:
-    """Return whether turns of other programs reach no replica in five tries."""
-    for replica in fleet.replicas:
-        replica.crashes_on = crashes
-    await fleet.start([KEPT])
-    await asyncio.sleep(1.0)
-    others = [await begin(fleet, n, b'program %d' % n) for n in range(OTHERS)]
-    program, turn = await begin(fleet, 99, DEADLY)
-    for number in range(3):  # a turn that fails is sent again, at most twice
+
+async def send(fleet: Fleet, per_s: float, seconds: float, sent: list[Sent]) -> None:
+    """Send requests of the tenant to all entries in turn."""
+    asks = []
+    for number in range(int(per_s * seconds)):
         machine = fleet.fronts[number % len(fleet.fronts)]
-        ident, answer = await send_turn(machine, program, COMMON_INPUT, turn)
-        fleet.note(f'turn {ident} of {program} to {machine.name}: {describe(answer)}')
-        if answer.status == 200:
-            break
-        await asyncio.sleep(0.4)
-    fleet.note(f'replicas that crashed: {sum(each.crashes for each in fleet.replicas)}')
-    await asyncio.sleep(SETTLE_S)
-    lost = firsts = 0
-    for number, (other, last) in enumerate(others):
-        sent = []
-        for attempt in range(TRIES):
-            machine = fleet.fronts[(number + attempt) % len(fleet.fronts)]
-            ident, answer = await send_turn(machine, other, COMMON_INPUT, last)
-            sent.append(ident)
-            fleet.note(f'turn {ident} of {other} to {machine.name}: {describe(answer)}')
-            if answer.status == 200:
-                break
-            await asyncio.sleep(0.3)
-        lost += not any(each.request in sent for each in fleet.runs)
-        _, first = await begin(fleet, 200 + number, b'new program %d' % number)
-        firsts += any(each.request == first for each in fleet.runs)
+        asks.append(asyncio.ensure_future(look_up(fleet, machine, sent)))
+        await asyncio.sleep(1 / per_s)
+    await asyncio.gather(*asks)
+
+
+def most_in_window(fleet: Fleet, sent: list[Sent]) -> tuple[int, float]:
+    """Return the most requests that were sent and ran in one window, and when it began."""
+    ran_at = {each.request: each.at for each in fleet.runs}
+    spans = [(each.at, ran_at[each.ident]) for each in sent if each.ident in ran_at]
+    counts = [
+        (sum(begin <= at and ran <= begin + WINDOW_S for at, ran in spans), begin)
+        for begin, _ in spans
+    ]
+    return max(counts, default=(0, 0.0))
+
+
+async def play(fleet: Fleet) -> int:
+    """Return whether more requests of the tenant ran in a window than its allotment allows."""
+    tenant = {
+        'name': 'pottery',
+        'apiKeys': [KEY],
+        'priority': 5,
+        'ratePerS': RATE_PER_S,
+        'burst': BURST,
+    }
+    await fleet.start([route('lookup', '/lookup/', 'safe', 'app', timeoutMs=1200)], [tenant])
+    await asyncio.sleep(6.0)  # all machines are in touch, and the keepers know each other
+    sent: list[Sent] = []
+    await send(fleet, USUAL_PER_S, CALM_S, sent)
+    hot = asyncio.ensure_future(send(fleet, HOT_FACTOR * USUAL_PER_S, HOT_S, sent))
+    await asyncio.sleep(KILL_AFTER_S)
+    if TROUBLE:
+        fleet.note('all entries are killed')
+        for machine in fleet.fronts:
+            machine.send(signal.SIGKILL)
+    await hot
+    count, began_at = most_in_window(fleet, sent)
     fleet.note(
-        f'{lost} of {OTHERS} turns reached no replica in {TRIES} tries, '
-        f'{firsts} of {OTHERS} first turns did'
+        f'{count} requests of the tenant were sent and ran in {WINDOW_S:g} s from '
+        f'{began_at - fleet.began_at:.3f}; {ALLOWED:g} are allowed'
     )
-    if firsts < 0.9 * OTHERS:
+    if count < RATE_PER_S * WINDOW_S / 2:
         return NOT_RUN
-    return BROKEN if lost else HELD
+    return BROKEN if count > ALLOWED else HELD
 
 
 if __name__ == '__main__':
-    run(play, Path(__file__).parent, engines=4, apps=1)
+    bounds = {'quotaWindowS': WINDOW_S, 'quotaOverage': OVERAGE, 'quotaSlack': SLACK}
+    run(play, Path(__file__).parent, entries=3, bounds=bounds)
